--- /dev/null
+++ b/benchlink/src/main.rs
@@ -0,0 +1,16 @@
+//! `copperroute-benchlink`: the bench's wire on standard input and output, the decisions behind it.
+
+mod door;
+mod settings;
+mod wire;
+
+use std::io::{self, BufWriter};
+
+fn main() {
+    let input = io::stdin().lock();
+    let output = BufWriter::new(io::stdout().lock());
+    if let Err(fault) = wire::serve(input, output) {
+        eprintln!("copperroute-benchlink: {fault}");
+        std::process::exit(2);
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,372 @@
+//! What passes between an adapter and the decisions, in the users' words.
+//!
+//! An adapter maps the ids of its protocol to the small indices here, calls the methods of
+//! [`crate::decide::Dispatcher`] as things happen, and implements [`Outbox`], through which the
+//! module sends. Nothing here decides anything.
+
+/// A time of the adapter's clock, or a span, in whole nanoseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
+pub struct Nanos(pub u64);
+
+impl Nanos {
+    /// Nothing, or the clock's start.
+    pub const ZERO: Nanos = Nanos(0);
+
+    /// From seconds; what is negative or not a number is zero.
+    pub fn from_secs(secs: f64) -> Nanos {
+        Nanos((secs * 1e9).round() as u64)
+    }
+
+    /// In seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e9
+    }
+
+    /// This time moved on by `span`.
+    pub fn after(self, span: Nanos) -> Nanos {
+        Nanos(self.0.saturating_add(span.0))
+    }
+
+    /// The span from `earlier` to this time; zero if there is none.
+    pub fn since(self, earlier: Nanos) -> Nanos {
+        Nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A download in hand: a slot that the adapter may use again after [`Outbox::release`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct DlId(pub u32);
+
+/// A cache, parent or origin; the same for the dispatcher's whole life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeId(pub u32);
+
+/// One cacheable thing (a part of an object, where objects have parts): a slot that the adapter may use
+/// again after [`Outbox::release_object`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ObjectId(pub u32);
+
+/// A location or hub.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ZoneId(pub u32);
+
+/// A content type: a row of [`Settings::content_types`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct TypeId(pub u32);
+
+/// A hash of a name that is the same at every dispatcher (64-bit FNV-1a with a final mix).
+pub fn stable_hash(name: &[u8]) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in name {
+        hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    mix(hash)
+}
+
+/// Spreads the bits of `x` over all 64 (the finisher of SplitMix64).
+pub fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Whether a download may run again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may run any number of times.
+    Retriable,
+    /// A repeat is known and dropped within a group of caches, for a time from the first pull.
+    Deduped { scope: DedupScope, window: Nanos },
+    /// It must never run twice.
+    NonRetriable,
+}
+
+/// Which caches know a deduped download's repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DedupScope {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// From which caches a cache may be filled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Siblings {
+    /// From no other cache.
+    None,
+    /// From caches of its own location.
+    Location,
+    /// From any cache.
+    Any,
+}
+
+/// What the settings say of a content type.
+#[derive(Debug, Clone)]
+pub struct ContentType {
+    /// An answer within this time earns the whole benefit.
+    pub target_time: Nanos,
+    /// Added to the target time, as a multiple of the download's own sending time.
+    pub target_stretch: f64,
+    /// How long a client waits in all.
+    pub expiry: Nanos,
+    /// What an answer in time earns.
+    pub benefit: f64,
+    /// The share of the benefit that a late answer earns.
+    pub late_share: f64,
+    /// Whether it may run again.
+    pub repeat: Repeat,
+    /// How long a copy is fresh; `None` for no limit.
+    pub fresh_for: Option<Nanos>,
+    /// Runs at the origin and leaves no copy.
+    pub uncacheable: bool,
+}
+
+/// What a dispatcher is told when it starts.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Where chance starts from.
+    pub seed: u64,
+    /// The dispatcher's own location.
+    pub zone: ZoneId,
+    /// How many dispatchers there are in all.
+    pub dispatchers: u32,
+    /// How many dispatchers serve the own location.
+    pub zone_dispatchers: u32,
+    /// The content types.
+    pub content_types: Vec<ContentType>,
+    /// The kind of node that is a parent, if there are parents.
+    pub parent_kind: Option<u32>,
+    /// The kind of node that is the origin.
+    pub origin_kind: Option<u32>,
+    /// Whether parents and the origin take pulls too.
+    pub direct: bool,
+    /// From which caches a cache may be filled.
+    pub siblings: Siblings,
+    /// Whether a download can join a fill that is under way.
+    pub joins: bool,
+    /// Whether answers tell a fill that a parent held from one that went to the origin.
+    pub fills_told: bool,
+    /// The top pace of one answer in KB a second; 0 if not told.
+    pub client_kb_per_s: f64,
+    /// What the own location's link for fills carries, in KB a second; 0 if not told.
+    pub link_kb_per_s: f64,
+    /// Whether a node's weight is its size in transfers, rather than a changing or constant value.
+    pub weights_are_sizes: bool,
+    /// How long a purged copy may lie about.
+    pub purge_done: Nanos,
+    /// The time to heed a purge.
+    pub purge_notice: Nanos,
+    /// Least share of its capacity with which a cache starts, and when it is warm at the latest.
+    pub cold_share: f64,
+    /// See `cold_share`.
+    pub cold_for: Nanos,
+    /// A cold cache falls over when sent more than this many times its present capacity.
+    pub fall_multiple: f64,
+    /// For this long.
+    pub fall_for: Nanos,
+    /// The same three figures for parents; they fall after `fall_for` too.
+    pub parent_cold_share: f64,
+    /// See `parent_cold_share`.
+    pub parent_cold_for: Nanos,
+    /// See `parent_cold_share`.
+    pub parent_fall_multiple: f64,
+    /// The origin stops when asked for this many times what it can do; 0 for never.
+    pub origin_stop_multiple: f64,
+    /// For this long.
+    pub origin_stop_for: Nanos,
+    /// The list of nodes comes only when followed.
+    pub list_is_asked: bool,
+    /// Pulls may be called off.
+    pub cancel: bool,
+    /// A download may have two pulls out at once.
+    pub second_copies: bool,
+    /// Nodes may be probed.
+    pub probing: bool,
+    /// Clients are told when to come back.
+    pub come_back: bool,
+    /// The longest advice that clients heed.
+    pub max_come_back: Nanos,
+    /// The most pulls for one download.
+    pub max_pulls: u32,
+    /// A connection not made by then counts as unreachable.
+    pub connect_timeout: Nanos,
+}
+
+/// Where a node stands in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// Takes work.
+    Ready,
+    /// Finishes its work and takes no more.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// A line of the list of nodes.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeEntry {
+    /// The node.
+    pub node: NodeId,
+    /// The stable hash of its name.
+    pub hash: u64,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Its machine kind.
+    pub kind: u32,
+    /// Its cell, for deduped content types.
+    pub cell: u32,
+    /// Whether it takes work.
+    pub readiness: Readiness,
+    /// Its size in relation to others.
+    pub weight: f64,
+    /// When it last started; zero if long ago.
+    pub started: Nanos,
+}
+
+/// A download that the dispatcher has taken.
+#[derive(Debug, Clone, Copy)]
+pub struct Download {
+    /// Its slot.
+    pub dl: DlId,
+    /// Its content type.
+    pub content_type: TypeId,
+    /// The slot of what it asks for.
+    pub object: ObjectId,
+    /// The stable hash of the object's name with its part: what a cache keeps as one copy.
+    pub copy_hash: u64,
+    /// The stable hash of the object's name, whatever the part.
+    pub object_hash: u64,
+    /// The group of the object, as a purge may name it.
+    pub group: Option<u64>,
+    /// When the client stops waiting for this try.
+    pub expires: Nanos,
+    /// Its size, where told.
+    pub size_kb: Option<f64>,
+}
+
+/// How a pull ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Fulfilled,
+    /// The node answered with an error; it may have run.
+    Failed,
+    /// Not taken by the node or its source; it never ran.
+    Refused,
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection; it never ran.
+    Unreachable,
+    /// The connection broke; it may have run.
+    Broken,
+    /// Called off; it may have run.
+    CalledOff,
+    /// Not sent; it never ran.
+    NotSent,
+    /// Nothing suitable held; it never ran.
+    NotHeld,
+}
+
+/// What an answer tells of how it came about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Remark {
+    /// Nothing.
+    None,
+    /// Found at the node.
+    Hit,
+    /// Filled from the source's own copy.
+    FilledFromCopy,
+    /// Filled, and the origin was asked.
+    FilledFromOrigin,
+    /// Joined a fill under way.
+    Joined,
+    /// An old copy.
+    Aged,
+    /// The source refused.
+    SourceRefused,
+    /// The source was unreachable, broke off or was too slow.
+    SourceLost,
+    /// The source has none.
+    SourceHasNone,
+    /// All places for fills are taken at the node.
+    NoFillPlace,
+    /// The origin failed behind the parent.
+    OriginFailed,
+}
+
+/// What a node reports of its load, where it does; a field it does not report is `None`.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Load {
+    /// Share of its processors that is busy.
+    pub busy_share: Option<f64>,
+    /// Downloads that it holds.
+    pub held: Option<f64>,
+    /// At a cache, how full its location's link is; at a parent, the fetches it has out.
+    pub link: Option<f64>,
+}
+
+/// The end of a pull.
+#[derive(Debug, Clone, Copy)]
+pub struct PullEnd {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it took.
+    pub took: Nanos,
+    /// Nothing more is owed for the download.
+    pub closed: bool,
+    /// Time to the source's first byte or to the fill's failure, where told.
+    pub waited: Option<Nanos>,
+    /// How the answer came about, where told.
+    pub remark: Remark,
+    /// The node's load, where told.
+    pub load: Load,
+}
+
+/// A pull as the module orders it.
+#[derive(Debug, Clone, Copy)]
+pub struct Pull {
+    /// The node that is asked.
+    pub node: NodeId,
+    /// Who supplies a miss; the node itself for no fill.
+    pub source: NodeId,
+    /// Given up after this long; `None` for as long as the client waits.
+    pub try_for: Option<Nanos>,
+    /// 0 keeps no copy, 1 to 3 keep it at that rank.
+    pub rank: u8,
+    /// The oldest copy that will do; `None` for the content type's own limit.
+    pub max_age: Option<Nanos>,
+    /// Join a fill that is under way.
+    pub join: bool,
+    /// Leave no copy at the parent.
+    pub no_parent_copy: bool,
+    /// Serve an ageing copy and fetch it anew behind.
+    pub renew: bool,
+}
+
+/// Through this the module sends. An adapter writes each call out in the order in which it comes.
+pub trait Outbox {
+    /// Makes a pull for a download. The first of a download is number 0, and so on.
+    fn pull(&mut self, dl: DlId, pull: &Pull);
+    /// Calls off a pull that is out.
+    fn call_off(&mut self, dl: DlId, number: u32);
+    /// Final answer: not served, and trying again is harmless; after `come_back`, if given.
+    fn throttle(&mut self, dl: DlId, come_back: Option<Nanos>);
+    /// Final answer: not served, and nothing is promised.
+    fn abandon(&mut self, dl: DlId);
+    /// Asks for [`crate::decide::Dispatcher::timer`] with `token` after `span`.
+    fn arm(&mut self, span: Nanos, token: u64);
+    /// Sends a health check.
+    fn probe(&mut self, node: NodeId);
+    /// Opens the standing subscription to the list of nodes.
+    fn follow(&mut self);
+    /// Writes a line for on-call staff.
+    fn note(&mut self, line: &str);
+    /// The module holds nothing more of this download.
+    fn release(&mut self, dl: DlId);
+    /// The module holds nothing more of this object.
+    fn release_object(&mut self, object: ObjectId);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! copperroute decides, for each download a dispatcher takes, which edge cache is asked, where a miss
+//! is filled from, and whether the copy is kept (MC3). It does no input or output of its own: an
+//! adapter calls [`decide::Dispatcher`] and hands it an [`interface::Outbox`] to answer through.
+
+pub mod chance;
+pub mod decide;
+pub mod interface;
+pub mod recent;
+pub mod ring;
--- /dev/null
+++ b/src/ring.rs
@@ -0,0 +1,55 @@
+//! Sums over the recent past: fixed buckets of time, used again in a ring.
+
+use crate::interface::Nanos;
+
+/// `N` running sums over a window made of equal buckets of time.
+#[derive(Debug, Clone)]
+pub struct Ring<const N: usize> {
+    width: u64,
+    newest: u64,
+    buckets: Vec<[f64; N]>,
+}
+
+impl<const N: usize> Ring<N> {
+    /// A ring that covers `window` in `buckets` pieces.
+    pub fn new(window: Nanos, buckets: usize) -> Self {
+        let buckets = buckets.max(1);
+        let width = (window.0 / buckets as u64).max(1);
+        Ring { width, newest: 0, buckets: vec![[0.0; N]; buckets] }
+    }
+
+    fn turn(&mut self, now: Nanos) {
+        let at = now.0 / self.width;
+        let len = self.buckets.len() as u64;
+        if at > self.newest {
+            for step in self.newest.max(at.saturating_sub(len)) + 1..=at {
+                self.buckets[(step % len) as usize] = [0.0; N];
+            }
+            self.newest = at;
+        }
+    }
+
+    /// Adds to sum `which` at `now`.
+    pub fn add(&mut self, now: Nanos, which: usize, value: f64) {
+        self.turn(now);
+        let at = (self.newest % self.buckets.len() as u64) as usize;
+        self.buckets[at][which] += value;
+    }
+
+    /// All sums over the window that ends at `now`.
+    pub fn sums(&mut self, now: Nanos) -> [f64; N] {
+        self.turn(now);
+        let mut total = [0.0; N];
+        for bucket in &self.buckets {
+            for (sum, value) in total.iter_mut().zip(bucket) {
+                *sum += value;
+            }
+        }
+        total
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.buckets.fill([0.0; N]);
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,143 @@
+//! A dispatcher in a small location, and a printer of what it sends.
+
+use copperroute::decide::Dispatcher;
+use copperroute::interface::*;
+use std::fmt::Write as _;
+
+/// Prints each thing that the module sends as a line.
+#[derive(Default)]
+pub struct Trace(pub String);
+
+macro_rules! say {
+    ($trace:ident, $($parts:tt)*) => {{ let _ = writeln!($trace.0, $($parts)*); }};
+}
+
+impl Outbox for Trace {
+    fn pull(&mut self, dl: DlId, p: &Pull) {
+        let age = p.max_age.map_or(String::new(), |age| format!(" age<={:.3}", age.secs()));
+        let join = if p.join { " join" } else { "" };
+        let no_copy = if p.no_parent_copy { " no-parent-copy" } else { "" };
+        let renew = if p.renew { " renew" } else { "" };
+        let (node, source, rank) = (p.node.0, p.source.0, p.rank);
+        say!(self, "dl {}: pull {node} from {source} rank {rank}{age}{join}{no_copy}{renew}", dl.0);
+    }
+    fn call_off(&mut self, dl: DlId, number: u32) {
+        say!(self, "dl {}: call off {number}", dl.0);
+    }
+    fn throttle(&mut self, dl: DlId, come_back: Option<Nanos>) {
+        say!(self, "dl {}: throttled{}", dl.0, if come_back.is_some() { ", come back" } else { "" });
+    }
+    fn abandon(&mut self, dl: DlId) {
+        say!(self, "dl {}: abandoned", dl.0);
+    }
+    fn arm(&mut self, _span: Nanos, _token: u64) {}
+    fn probe(&mut self, node: NodeId) {
+        say!(self, "probe {}", node.0);
+    }
+    fn follow(&mut self) {
+        say!(self, "follow");
+    }
+    fn note(&mut self, line: &str) {
+        say!(self, "note: {}", line.split(" for ").next().unwrap_or(line));
+    }
+    fn release(&mut self, _dl: DlId) {}
+    fn release_object(&mut self, _object: ObjectId) {}
+}
+
+/// Milliseconds.
+pub fn ms(n: u64) -> Nanos {
+    Nanos(n * 1_000_000)
+}
+
+/// Three content types: retriable (0), retriable and fresh for 8 s (1), non-retriable at the origin (2).
+pub fn settings() -> Settings {
+    let row = |benefit, repeat, fresh: Option<u64>, uncacheable| ContentType {
+        target_time: ms(400),
+        target_stretch: 2.0,
+        expiry: ms(3_000),
+        benefit,
+        late_share: 0.2,
+        repeat,
+        fresh_for: fresh.map(ms),
+        uncacheable,
+    };
+    Settings {
+        seed: 7,
+        zone: ZoneId(2),
+        dispatchers: 4,
+        zone_dispatchers: 2,
+        content_types: vec![
+            row(2.0, Repeat::Retriable, None, false),
+            row(1.0, Repeat::Retriable, Some(8_000), false),
+            row(3.0, Repeat::NonRetriable, None, true),
+        ],
+        parent_kind: Some(1),
+        origin_kind: Some(2),
+        direct: true,
+        siblings: Siblings::None,
+        joins: true,
+        fills_told: true,
+        client_kb_per_s: 10_000.0,
+        link_kb_per_s: 0.0,
+        weights_are_sizes: true,
+        purge_done: ms(6_000),
+        purge_notice: ms(500),
+        cold_share: 0.2,
+        cold_for: ms(15_000),
+        fall_multiple: 2.5,
+        fall_for: ms(1_500),
+        parent_cold_share: 0.07,
+        parent_cold_for: ms(21_000),
+        parent_fall_multiple: 2.0,
+        origin_stop_multiple: 2.5,
+        origin_stop_for: ms(3_000),
+        list_is_asked: false,
+        cancel: true,
+        second_copies: false,
+        probing: false,
+        come_back: true,
+        max_come_back: ms(2_000),
+        max_pulls: 6,
+        connect_timeout: ms(400),
+    }
+}
+
+/// Node `id`: caches are kind 0 in zone 2, parents kind 1, the origin kind 2.
+pub fn entry(id: u32, kind: u32, readiness: Readiness, started: Nanos) -> NodeEntry {
+    let zone = ZoneId(if kind == 0 { 2 } else { 0 });
+    let hash = stable_hash(format!("node-{id}").as_bytes());
+    NodeEntry { node: NodeId(id), hash, zone, kind, cell: 0, readiness, weight: 12.0, started }
+}
+
+/// A dispatcher that knows caches 0, 1, 2, parents 3, 4 and the origin 5, all warm.
+pub fn dispatcher(settings: Settings, trace: &mut Trace) -> Dispatcher {
+    let mut module = Dispatcher::new(settings);
+    module.start(ms(1), trace);
+    let kinds = [0, 0, 0, 1, 1, 2];
+    let list: Vec<_> =
+        (0..6).map(|id| entry(id, kinds[id as usize], Readiness::Ready, Nanos::ZERO)).collect();
+    module.nodes_listed(ms(1), &list, trace);
+    module
+}
+
+/// Download `dl` of content type `kind` for object `object`, which expires 3 s from now.
+pub fn ask(module: &mut Dispatcher, now: Nanos, dl: u32, kind: u32, object: u32, trace: &mut Trace) {
+    let hash = stable_hash(format!("object-{object}").as_bytes());
+    let d = Download {
+        dl: DlId(dl),
+        content_type: TypeId(kind),
+        object: ObjectId(object),
+        copy_hash: hash,
+        object_hash: hash,
+        group: Some(u64::from(object % 4)),
+        expires: now.after(ms(3_000)),
+        size_kb: Some(1_000.0),
+    };
+    module.download(now, &d, trace);
+}
+
+/// The end of a pull with this outcome and remark.
+pub fn end(outcome: Outcome, remark: Remark) -> PullEnd {
+    let closed = outcome == Outcome::Fulfilled;
+    PullEnd { outcome, took: ms(120), closed, waited: Some(ms(20)), remark, load: Load::default() }
+}
