--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod chance;
 pub mod decide;
 pub mod interface;
+pub mod purges;
 pub mod recent;
 pub mod ring;
