Look at a cache before asking a fill of it, and bound own fills by their pace

Change: a pull first looks; only a miss asks for a fill, and each dispatcher keeps its own fills under a limit that follows how slow they run, letting go first of what MC3 would not keep and of what is large for its type. Covers also scans, cold locations and slow sources, which crowd the link alike. Harm: one more round trip for each miss.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,6 +6,7 @@
 
 use crate::chance::Chance;
 use crate::interface::*;
+use crate::purges::Purges;
 use crate::recent::Recent;
 use crate::ring::Ring;
 
@@ -30,6 +31,7 @@
 const CROWDED: f64 = 2.5; // with all this full, another download only crowds out those begun
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const COME_BACK_S: f64 = 0.2;
+const FILL_STRETCH: f64 = 1.5; // fills slower than this crowd the location's link
 const FURTHER_FLOOR: f64 = 0.1;
 const SMOOTH: f64 = 0.2;
 const DEFAULT_WORK_S: f64 = 0.3; // sending time of a content type not yet seen
@@ -62,6 +64,7 @@
     work_s: f64,
     keep: Keep,
     pulls: Vec<PullOut>,
+    missed_at: Option<NodeId>,              // looked at, and it holds nothing
     first_may_run: Option<(Nanos, NodeId)>, // the first pull that is not proved never to have run
 }
 
@@ -104,13 +107,6 @@
     on_trial: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Purge {
-    hash: u64,
-    group: bool,
-    at: Nanos,
-}
-
 /// One dispatcher's decisions.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -120,9 +116,12 @@
     dls: Vec<Option<Dl>>,
     shadows: Vec<Shadow>,
     order: Recent,
-    fills: Ring<20>,  // kept fills by the power of two of their ratio
+    fills: Ring<20>, // kept fills by the power of two of their ratio
+    fills_out: f64,
+    fill_limit: f64,
+    fill_pace: Ring<2>,
     further: Ring<2>, // further pulls that ended, that worked
-    purges: Vec<Purge>,
+    purges: Purges,
     chance: Chance,
     serial: u32,
 }
@@ -138,8 +137,11 @@
             shadows: Vec::new(),
             order: Recent::default(),
             fills: Ring::new(FILLS_SEEN, 10),
+            fills_out: 0.0,
+            fill_limit: 0.0,
+            fill_pace: Ring::new(JUDGED_OVER, 8),
             further: Ring::new(JUDGED_OVER, 8),
-            purges: Vec::new(),
+            purges: Purges::default(),
             chance: Chance::new(s.seed),
             serial: 0,
             s,
@@ -168,7 +170,15 @@
             let shadow = self.count(now, d, out);
             (self.keep(&shadow), self.work_s(d, shadow.work_s))
         };
-        let dl = Dl { d: *d, stage: Stage::Taken, work_s, keep, pulls: Vec::new(), first_may_run: None };
+        let dl = Dl {
+            d: *d,
+            stage: Stage::Taken,
+            work_s,
+            keep,
+            pulls: Vec::new(),
+            missed_at: None,
+            first_may_run: None,
+        };
         let at = d.dl.0 as usize;
         if at >= self.dls.len() {
             self.dls.resize(at + 1, None);
@@ -178,31 +188,36 @@
     }
 
     /// Chooses node and source and sends; gives the download up at once where nothing can take it.
+    /// A cache is looked at before a fill is asked of it, so that every fill is known as one when it is
+    /// decided: the location's link, cold parents and the origin are only asked for what they can bear.
     fn pull(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
         let Some(dl) = self.dls[id.0 as usize].clone() else { return };
-        let uncacheable = self.types[dl.d.content_type.0 as usize].row.uncacheable;
-        let chosen = if uncacheable { self.runs_at(now, &dl) } else { self.edge(now, &dl) };
+        let row = &self.types[dl.d.content_type.0 as usize];
+        let (uncacheable, fades, mean) = (row.row.uncacheable, row.row.fresh_for.is_some(), row.mean_work_s);
+        let chosen = match dl.missed_at {
+            _ if uncacheable => self.runs_at(now, &dl),
+            Some(node) => self.source(now, &dl).map(|source| (node, source)),
+            None => self.edge(now, &dl).map(|node| (node, node)),
+        };
         let Some((node, source)) = chosen else { return self.give_up(now, id, out) };
-        let parent = self.is_parent(source);
-        let top = dl.keep.rank == 3;
         let pull = Pull {
             node,
             source,
             try_for: None,
             rank: dl.keep.rank,
             max_age: self.max_age(now, &dl.d),
-            join: self.s.joins && dl.pulls.is_empty(),
-            no_parent_copy: top && parent && node != source,
-            renew: dl.keep.rank >= 2 && self.types[dl.d.content_type.0 as usize].row.fresh_for.is_some(),
+            join: self.s.joins && dl.pulls.len() < 2,
+            no_parent_copy: dl.keep.rank == 3 && self.is_parent(source) && node != source,
+            renew: dl.keep.rank >= 2 && fades,
         };
         self.serial = self.serial.wrapping_add(1);
         let sent = PullOut { node, source, sent: now, serial: self.serial, out: true };
         self.move_to(id, Stage::Pulling, out);
-        let mean = self.types[dl.d.content_type.0 as usize].mean_work_s;
         for n in self.asked(&sent) {
             n.spent.add(now, 0, mean);
             n.out += 1;
         }
+        self.fills_out += f64::from(u8::from(node != source));
         if let Some(dl) = &mut self.dls[id.0 as usize] {
             dl.pulls.push(sent);
         }
@@ -360,8 +375,8 @@
     }
 
     /// The object's hash picks the edge cache (highest random weight, by size); the next in hash order
-    /// takes over where it is not open, full, or was tried. The fill's source comes with it.
-    fn edge(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
+    /// takes over where it is not open, full, or was tried.
+    fn edge(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
         let mut caches: Vec<(f64, NodeId)> = Vec::new();
         for n in self.nodes.iter().flatten() {
             let cache = Some(n.e.kind) != self.s.parent_kind && Some(n.e.kind) != self.s.origin_kind;
@@ -381,13 +396,43 @@
         }
         let fresh = open.iter().copied().find(|id| !tried(*id) && self.load(*id) < FULL);
         let least = || open.iter().copied().min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
-        let node = fresh.or_else(least).filter(|id| self.load(*id) < CROWDED)?;
-        Some((node, self.source(now, dl).unwrap_or(node)))
+        fresh.or_else(least).filter(|id| self.load(*id) < CROWDED)
+    }
+
+    /// The location's link divides itself among all fills, so one too many makes all of them late. Each
+    /// dispatcher keeps its own fills under a limit that follows how slow they run; as it comes near,
+    /// what MC3 would not keep and what is large for its type is let go first.
+    fn link_has_room(&mut self, dl: &Dl) -> bool {
+        if self.fill_limit == 0.0 {
+            let caches = self.nodes.iter().flatten().filter(|n| n.e.zone == self.s.zone);
+            let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
+            let size = if told > 0.0 { told / pace } else { 0.5 * caches.map(|n| n.e.weight).sum::<f64>() };
+            self.fill_limit = (size / f64::from(self.s.zone_dispatchers.max(1))).max(1.0);
+        }
+        let mean = self.types[dl.d.content_type.0 as usize].mean_work_s;
+        let unkept = if dl.keep.rank == 0 { 1.25 } else { 1.0 };
+        self.fills_out * unkept * (dl.work_s / mean).clamp(0.25, 4.0).sqrt().max(1.0) < self.fill_limit
+    }
+
+    /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
+    fn fill_ended(&mut self, now: Nanos, work_s: f64, end: &PullEnd) {
+        let took = end.took.secs() - end.waited.unwrap_or_default().secs();
+        self.fill_pace.add(now, 0, took.max(0.0));
+        self.fill_pace.add(now, 1, work_s);
+        let [took, work] = self.fill_pace.sums(now);
+        if took > FILL_STRETCH * work {
+            self.fill_limit = (self.fill_limit * 0.97).max(1.0);
+        } else if self.fills_out > 0.7 * self.fill_limit {
+            self.fill_limit += 0.1;
+        }
     }
 
     /// The better of the first two open parents in hash order, by smoothed time to first byte; with none
     /// open the origin.
     fn source(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
+        if !self.link_has_room(dl) {
+            return None;
+        }
         let mut parents: Vec<(u64, NodeId)> = Vec::new();
         for n in self.nodes.iter().flatten() {
             if n.listed && Some(n.e.kind) == self.s.parent_kind {
@@ -426,7 +471,7 @@
         let parent = self.source(now, dl).filter(|id| *id != origin);
         match parent {
             Some(parent) if self.s.direct => Some((parent, origin)),
-            _ => self.edge(now, dl).map(|(node, _)| (node, origin)),
+            _ => self.edge(now, dl).map(|node| (node, origin)),
         }
     }
 
@@ -451,13 +496,8 @@
 
     /// Rule 5: no copy older than a purge, for as long as such copies may lie about.
     fn max_age(&mut self, now: Nanos, d: &Download) -> Option<Nanos> {
-        let keep_for = self.s.purge_done.after(self.s.purge_notice);
-        self.purges.retain(|p| now.since(p.at) <= keep_for);
-        let meant = |p: &&Purge| match p.group {
-            true => d.group == Some(p.hash),
-            false => d.object_hash == p.hash,
-        };
-        let since = self.purges.iter().filter(meant).map(|p| now.since(p.at)).min()?;
+        self.purges.forget(now, self.s.purge_done.after(self.s.purge_notice));
+        let since = now.since(self.purges.last(d.object_hash, d.group)?);
         let fresh = self.types[d.content_type.0 as usize].row.fresh_for;
         Some(Nanos(since.0.min(fresh.map_or(u64::MAX, |f| f.0)).max(1_000)))
     }
@@ -489,17 +529,27 @@
         }
         let dl = dl.clone();
         self.judge(now, &pull, end, out);
+        if pull.node != pull.source {
+            self.fills_out -= 1.0;
+            if end.outcome != Outcome::CalledOff {
+                self.fill_ended(now, dl.work_s, end);
+            }
+        }
         if end.outcome == Outcome::Fulfilled {
             self.learn(now, &dl, &pull, end);
         }
-        if number > 0 && end.outcome != Outcome::CalledOff {
+        let missed = end.outcome == Outcome::NotHeld && pull.node == pull.source;
+        if number > 0 && end.outcome != Outcome::CalledOff && !missed && dl.missed_at.is_none() {
             self.further.add(now, usize::from(end.outcome == Outcome::Fulfilled), 1.0);
         }
         if end.closed {
             let served = end.outcome == Outcome::Fulfilled;
             self.move_to(id, if served { Stage::Fulfilled } else { Stage::Left }, out);
         } else if dl.stage == Stage::Pulling && dl.pulls.iter().all(|p| !p.out) {
-            self.go_on(now, id, out);
+            if let Some(dl) = self.dls[id.0 as usize].as_mut() {
+                dl.missed_at = missed.then_some(pull.node);
+            }
+            if missed { self.pull(now, id, out) } else { self.go_on(now, id, out) }
         }
         self.settle(id, out);
     }
@@ -724,12 +774,12 @@
 
     /// An object was purged `age` ago.
     pub fn object_purged(&mut self, now: Nanos, hash: u64, age: Nanos, _out: &mut impl Outbox) {
-        self.purges.push(Purge { hash, group: false, at: now.since(age) });
+        self.purges.add(hash, false, Nanos(now.0.saturating_sub(age.0)));
     }
 
     /// A group of objects was purged `age` ago.
     pub fn group_purged(&mut self, now: Nanos, group: u64, age: Nanos, _out: &mut impl Outbox) {
-        self.purges.push(Purge { hash: group, group: true, at: now.since(age) });
+        self.purges.add(group, true, Nanos(now.0.saturating_sub(age.0)));
     }
 }
 
