--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod purges;
 pub mod recent;
 pub mod ring;
+pub mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,203 @@
+//! What a dispatcher keeps of its downloads, objects and nodes. State only: nothing here decides.
+
+use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, Readiness};
+use crate::ring::Ring;
+
+/// Values at small indices.
+#[derive(Debug, Clone)]
+pub struct Slots<T>(Vec<Option<T>>);
+
+impl<T> Default for Slots<T> {
+    fn default() -> Self {
+        Slots(Vec::new())
+    }
+}
+
+impl<T> Slots<T> {
+    /// The value at `index`, if there is one.
+    pub fn get(&self, index: u32) -> Option<&T> {
+        self.0.get(index as usize)?.as_ref()
+    }
+
+    /// The value at `index`, if there is one.
+    pub fn get_mut(&mut self, index: u32) -> Option<&mut T> {
+        self.0.get_mut(index as usize)?.as_mut()
+    }
+
+    /// Puts a value at `index`.
+    pub fn put(&mut self, index: u32, value: T) {
+        let at = index as usize;
+        if at >= self.0.len() {
+            self.0.resize_with(at + 1, || None);
+        }
+        self.0[at] = Some(value);
+    }
+
+    /// Removes the value at `index`.
+    pub fn clear(&mut self, index: u32) {
+        if let Some(slot) = self.0.get_mut(index as usize) {
+            *slot = None;
+        }
+    }
+
+    /// All values, in the order of their indices.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.0.iter().flatten()
+    }
+
+    /// All values, in the order of their indices.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.0.iter_mut().flatten()
+    }
+}
+
+/// Where a download stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Taken, nothing sent.
+    Taken,
+    /// A pull is out, or about to be.
+    Pulling,
+    /// Bound to a stream that has begun.
+    Streaming,
+    /// Answered: served.
+    Fulfilled,
+    /// Answered: may come again.
+    Throttled,
+    /// Answered: nothing is promised.
+    Abandoned,
+    /// Nobody waits any more.
+    Left,
+}
+
+/// A pull of a download.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    /// The node asked.
+    pub node: NodeId,
+    /// The source named for a miss; the node itself for a look.
+    pub source: NodeId,
+    /// When.
+    pub at: Nanos,
+    /// Its number in the dispatcher's life.
+    pub serial: u32,
+    /// Its end has not been told yet.
+    pub out: bool,
+}
+
+impl Sent {
+    /// Whether it could only be answered from what the node holds.
+    pub fn is_look(&self) -> bool {
+        self.node == self.source
+    }
+}
+
+/// What MC3 says of a copy.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Keep {
+    /// The rank that a hit gives it.
+    pub hit_rank: u8,
+    /// The rank at which a fill keeps it; 0 for not.
+    pub fill_rank: u8,
+    /// Hops times rate, over storage cost.
+    pub ratio: f64,
+}
+
+/// A download in hand.
+#[derive(Debug, Clone)]
+pub struct Dl {
+    /// As it came.
+    pub d: Download,
+    /// Where it stands.
+    pub stage: Stage,
+    /// When it came.
+    pub taken: Nanos,
+    /// Its sending time, told or judged.
+    pub work_s: f64,
+    /// What MC3 says.
+    pub keep: Keep,
+    /// Its pulls, in order.
+    pub pulls: Vec<Sent>,
+    /// The cache that was looked at last and holds nothing.
+    pub missed_at: Option<NodeId>,
+    /// The first pull that is not proved never to have run.
+    pub may_have_run: Option<(Nanos, NodeId)>,
+}
+
+/// A shadow entry.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Shadow {
+    /// Which object it is of.
+    pub copy_hash: u64,
+    /// When it was last asked for.
+    pub last: Nanos,
+    /// The estimate of the gap between requests.
+    pub gap_s: Option<f64>,
+    /// Hops to the closest held copy at the last fill.
+    pub hops: f64,
+    /// Its sending time as seen.
+    pub work_s: Option<f64>,
+}
+
+/// What differs by content type.
+#[derive(Debug, Clone)]
+pub struct TypeRow {
+    /// What the settings say.
+    pub told: ContentType,
+    /// Its mean sending time as seen.
+    pub mean_work_s: f64,
+}
+
+/// A node and what was seen of it.
+#[derive(Debug, Clone)]
+pub struct Node {
+    /// As last listed.
+    pub e: NodeEntry,
+    /// Listed as ready.
+    pub listed: bool,
+    /// When it last started, told or judged; zero for long ago.
+    pub started: Nanos,
+    /// Recent pulls that worked and that failed.
+    pub ended: Ring<2>,
+    /// Sending time put on it lately.
+    pub spent: Ring<1>,
+    /// Smoothed time to first byte of its fills.
+    pub first_byte_s: Option<f64>,
+    /// Pulls and fills out.
+    pub out: u32,
+    /// When it last answered anything.
+    pub heard: Nanos,
+    /// Set aside until then.
+    pub aside_until: Nanos,
+    /// To be tried with one pull first.
+    pub on_trial: bool,
+}
+
+impl Node {
+    /// A node just listed, judged over one window, with its spending summed over another.
+    pub fn new(e: NodeEntry, judged_over: Nanos, spent_over: Nanos, buckets: usize) -> Self {
+        Node {
+            e,
+            listed: e.readiness == Readiness::Ready,
+            started: e.started,
+            ended: Ring::new(judged_over, buckets),
+            spent: Ring::new(spent_over, buckets),
+            first_byte_s: None,
+            out: 0,
+            heard: Nanos::ZERO,
+            aside_until: Nanos::ZERO,
+            on_trial: false,
+        }
+    }
+
+    /// Takes a newer line of the list; a new start makes a new node of it.
+    pub fn relist(&mut self, e: &NodeEntry) {
+        if e.started > self.e.started {
+            self.aside_until = Nanos::ZERO;
+            self.on_trial = false;
+        }
+        self.started = self.started.max(e.started);
+        self.listed = e.readiness == Readiness::Ready;
+        self.e = *e;
+    }
+}
