Judge fills by the leeway of the target time and keep a floor under their limit

Change: a fill is slow when it uses up over half of what the target time leaves; the limit never falls under 0.3 of its start.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,7 +33,8 @@
 const FULL: f64 = 1.5; // the next cache in hash order takes over
 const CROWDED: f64 = 2.5; // with all this full, another download only crowds out those begun
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
-const FILL_STRETCH: f64 = 1.5; // fills slower than this crowd the location's link
+const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
+const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
 const FURTHER_FLOOR: f64 = 0.1;
 const SMOOTH: f64 = 0.2;
@@ -52,6 +53,7 @@
     fill_pace: Ring<2>, // time that fills took, and their sending time
     fills_out: f64,
     fill_limit: f64,
+    fill_floor: f64,
     further: Ring<2>, // further pulls that worked, that failed
     purges: Purges,
     chance: Chance,
@@ -72,6 +74,7 @@
             fill_pace: Ring::new(JUDGED_OVER, BUCKETS),
             fills_out: 0.0,
             fill_limit: 0.0,
+            fill_floor: 0.0,
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
             chance: Chance::new(s.seed),
@@ -291,6 +294,7 @@
             let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
             let size = if told > 0.0 { told / pace } else { 0.5 * caches.map(|n| n.e.weight).sum::<f64>() };
             self.fill_limit = (size / f64::from(self.s.zone_dispatchers.max(1))).max(1.0);
+            self.fill_floor = (FILL_FLOOR * self.fill_limit).max(1.0);
         }
         let unkept = if dl.keep.fill_rank == 0 { 1.25 } else { 1.0 };
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
@@ -298,16 +302,18 @@
     }
 
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
-    fn fill_ended(&mut self, now: Nanos, work_s: f64, end: &PullEnd) {
+    fn fill_ended(&mut self, now: Nanos, dl: &Dl, end: &PullEnd) {
         self.fills_out -= 1.0;
         if end.outcome == Outcome::CalledOff {
             return;
         }
         self.fill_pace.add(now, 0, end.took.since(end.waited.unwrap_or_default()).secs());
-        self.fill_pace.add(now, 1, work_s);
-        let [took, work] = self.fill_pace.sums(now);
-        if took > FILL_STRETCH * work {
-            self.fill_limit = (self.fill_limit * 0.97).max(1.0);
+        let told = &self.row(&dl.d).told;
+        let leeway = told.target_time.secs() + (told.target_stretch - 1.0).max(0.0) * dl.work_s;
+        self.fill_pace.add(now, 1, dl.work_s + FILL_LEEWAY * leeway);
+        let [took, fair] = self.fill_pace.sums(now);
+        if took > fair {
+            self.fill_limit = (self.fill_limit * 0.97).max(self.fill_floor);
         } else if self.fills_out > 0.7 * self.fill_limit {
             self.fill_limit += 0.1;
         }
@@ -396,7 +402,7 @@
         dl.missed_at = missed.then_some(sent.node);
         let dl = dl.clone();
         if !sent.is_look() {
-            self.fill_ended(now, dl.work_s, end);
+            self.fill_ended(now, &dl, end);
         }
         self.judge(now, &sent, end, out);
         if worked {
