Charge a parent whose fills run over the leeway to its first byte

Change: what its fills take over the leeway is smoothed, added to its first byte, and halves every 4 s unasked. Nothing is charged while fills run in time. Harm: where the location's own link is the cause both parents are charged and fills alternate.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,6 +34,7 @@
 const CROWDED: f64 = 2.5; // with all this full, another download only crowds out those begun
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
+const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -302,15 +303,23 @@
     }
 
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
-    fn fill_ended(&mut self, now: Nanos, dl: &Dl, end: &PullEnd) {
+    fn fill_ended(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd) {
         self.fills_out -= 1.0;
         if end.outcome == Outcome::CalledOff {
             return;
         }
-        self.fill_pace.add(now, 0, end.took.since(end.waited.unwrap_or_default()).secs());
         let told = &self.row(&dl.d).told;
         let leeway = told.target_time.secs() + (told.target_stretch - 1.0).max(0.0) * dl.work_s;
-        self.fill_pace.add(now, 1, dl.work_s + FILL_LEEWAY * leeway);
+        let took = end.took.since(end.waited.unwrap_or_default()).secs();
+        let fair = dl.work_s + FILL_LEEWAY * leeway;
+        self.fill_pace.add(now, 0, took);
+        self.fill_pace.add(now, 1, fair);
+        // A parent may be quick to begin and slow to send: what its fills take over the leeway is charged
+        // to its first byte, and fades while it is not asked. Nothing is charged on the ordinary path.
+        if let Some(n) = self.nodes.get_mut(sent.source.0) {
+            let old = n.charged_s(now, CHARGE_FADES);
+            n.charge = (old + SMOOTH * ((took - fair).max(0.0) - old), now);
+        }
         let [took, fair] = self.fill_pace.sums(now);
         if took > fair {
             self.fill_limit = (self.fill_limit * 0.97).max(self.fill_floor);
@@ -331,7 +340,8 @@
         let mean = self.row(&dl.d).mean_work_s;
         parents.retain(|(_, id)| self.open(now, *id, mean));
         let failed = |id: NodeId| dl.pulls.iter().any(|p| !p.is_look() && p.source == id);
-        let first_byte = |id: NodeId| self.nodes.get(id.0).and_then(|n| n.first_byte_s).unwrap_or(0.0);
+        let charged = |n: &Node| n.first_byte_s.unwrap_or(0.0) + n.charged_s(now, CHARGE_FADES);
+        let first_byte = |id: NodeId| self.nodes.get(id.0).map_or(0.0, charged);
         let two = parents.iter().take(2).map(|(_, id)| (failed(*id), first_byte(*id), *id));
         let best = two.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, id)| id).or_else(|| self.origin().filter(|id| self.open(now, *id, mean)))
@@ -402,7 +412,7 @@
         dl.missed_at = missed.then_some(sent.node);
         let dl = dl.clone();
         if !sent.is_look() {
-            self.fill_ended(now, &dl, end);
+            self.fill_ended(now, &dl, &sent, end);
         }
         self.judge(now, &sent, end, out);
         if worked {
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,8 @@
     pub spent: Ring<1>,
     /// Smoothed time to first byte of its fills.
     pub first_byte_s: Option<f64>,
+    /// What its fills took too long, smoothed, and when that was said.
+    pub charge: (f64, Nanos),
     /// Pulls and fills out.
     pub out: u32,
     /// When it last answered anything.
@@ -183,6 +185,7 @@
             ended: Ring::new(judged_over, buckets),
             spent: Ring::new(spent_over, buckets),
             first_byte_s: None,
+            charge: (0.0, Nanos::ZERO),
             out: 0,
             heard: Nanos::ZERO,
             aside_until: Nanos::ZERO,
@@ -190,6 +193,11 @@
         }
     }
 
+    /// Its charge, halved for every `fades` since it was said.
+    pub fn charged_s(&self, now: Nanos, fades: Nanos) -> f64 {
+        self.charge.0 * 0.5_f64.powf(now.since(self.charge.1).secs() / fades.secs())
+    }
+
     /// Takes a newer line of the list; a new start makes a new node of it.
     pub fn relist(&mut self, e: &NodeEntry) {
         if e.started > self.e.started {
