--- a/src/state.rs
+++ b/src/state.rs
@@ -56,6 +56,8 @@
 pub enum Stage {
     /// Taken, nothing sent.
     Taken,
+    /// Nothing is out; it waits for a place on the location's link.
+    Waiting,
     /// A pull is out, or about to be.
     Pulling,
     /// Bound to a stream that has begun.
@@ -120,6 +122,8 @@
     pub pulls: Vec<Sent>,
     /// The cache that was looked at last and holds nothing.
     pub missed_at: Option<NodeId>,
+    /// The number of its last wait.
+    pub waits: u32,
     /// The first pull that is not proved never to have run.
     pub may_have_run: Option<(Nanos, NodeId)>,
 }
