--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,7 +30,7 @@
 const OVERDUE_SLACK: Nanos = Nanos(300_000_000);
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
-const FULL: f64 = 2.5; // the next cache in hash order takes over
+const FULL: f64 = 2.0; // the next cache in hash order takes over
 const CROWDED: f64 = 3.0; // with all this full, another download only crowds out those begun
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
