Set a silent origin aside and ask parents only for what they hold

Change: an overdue fill whose cache answers and whose source answers counts against the origin; set aside, parents are asked with held-only, misses are given up at once, and one fetch at a time tries it again.

--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -120,7 +120,10 @@
 
 impl Outbox for Door {
     fn pull(&mut self, dl: DlId, pull: &Pull) {
-        let manner = u32::from(pull.join) + 4 * u32::from(pull.no_parent_copy) + 8 * u32::from(pull.renew);
+        let manner = u32::from(pull.join)
+            + 2 * u32::from(pull.held_only)
+            + 4 * u32::from(pull.no_parent_copy)
+            + 8 * u32::from(pull.renew);
         say!(
             self,
             "pull_via\t{}\t{}\t{}\t{manner}\t{}\t{}\t{}\t{}",
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,7 @@
 const ASIDE_SPREAD_S: f64 = 2.0;
 const OVERDUE_STRETCH: f64 = 2.0; // a pull is looked at after this many times its work and
 const OVERDUE_SLACK: Nanos = Nanos(300_000_000);
+const TRIAL_GAP: Nanos = Nanos(300_000_000);
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 2.0; // the next cache in hash order takes over
@@ -137,6 +138,7 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
+            held_only: dl.missed_at.is_some() && self.is_parent(source) && !self.may_fetch(now),
             no_parent_copy: rank == 3 && self.is_parent(source) && !sent.is_look(),
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
@@ -383,9 +385,24 @@
         best.map(|(_, _, id)| id).or_else(|| self.origin().filter(|id| self.open(now, *id, mean)))
     }
 
+    /// A stopped origin holds every fill that needs it until time runs out, and with them the places on
+    /// the link. While it is set aside parents give only what they hold, and what they lack is given up
+    /// at once; then one fetch at a time tries it. Harms what a slow, but not silent, origin would serve.
+    fn may_fetch(&mut self, now: Nanos) -> bool {
+        let Some(n) = self.origin().and_then(|id| self.nodes.get_mut(id.0)) else { return true };
+        if n.aside_until > now || (n.on_trial && now.since(n.tried) < TRIAL_GAP) {
+            return false;
+        }
+        n.tried = now;
+        true
+    }
+
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
     fn runs_at(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
         let origin = self.origin().filter(|_| dl.may_have_run.is_none())?;
+        if !self.may_fetch(now) {
+            return None;
+        }
         if self.s.direct && dl.pulls.iter().all(|p| p.node != origin) {
             return Some((origin, origin));
         }
@@ -465,7 +482,8 @@
             let share = ((worked + 2.0) / (worked + failed + 2.0)).max(FURTHER_FLOOR);
             let in_time = dl.d.expires.since(now).secs() > dl.work_s;
             let allowed = in_time && dl.pulls.len() < self.s.max_pulls as usize;
-            if allowed && (missed || self.chance.share() < share) {
+            let nowhere = end.outcome == Outcome::NotHeld && !missed;
+            if allowed && !nowhere && (missed || self.chance.share() < share) {
                 self.pull(now, id, out);
             } else {
                 self.give_up(now, id, out);
@@ -545,9 +563,10 @@
     fn judge(&mut self, now: Nanos, sent: &Sent, end: &PullEnd, out: &mut impl Outbox) {
         use Outcome::*;
         self.asked(sent).for_each(|n| n.out = n.out.saturating_sub(1));
+        let origin = self.origin();
         let from_source = match end.remark {
             Remark::SourceRefused | Remark::SourceLost => Some(sent.source),
-            Remark::OriginFailed => self.origin(),
+            Remark::OriginFailed => origin,
             _ => None,
         };
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
@@ -560,6 +579,10 @@
                 self.mark(now, sent.node, true, false, out);
                 if !sent.is_look() && filled {
                     self.mark(now, sent.source, true, false, out);
+                    if let Some(origin) = origin.filter(|_| end.remark == Remark::FilledFromOrigin) {
+                        self.mark(now, origin, true, false, out);
+                        self.nodes.get_mut(origin.0).into_iter().for_each(|n| n.heard = now);
+                    }
                     if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source.0)) {
                         n.heard = now;
                         let old = n.first_byte_s.unwrap_or(waited.secs());
@@ -612,8 +635,14 @@
         }
         let sent = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied();
         let Some(sent) = sent else { return };
-        let silent = |n: &&Node| n.heard < sent.at && n.aside_until <= now;
-        if self.nodes.get(sent.node.0).filter(silent).is_none() {
+        let heard =
+            |id: NodeId| self.nodes.get(id.0).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
+        if heard(sent.node) {
+            // The node answers, so what is overdue hangs further up: at the source, or at the origin.
+            let silent = [Some(sent.source), self.origin()].into_iter().flatten().find(|id| !heard(*id));
+            if let Some(id) = silent.filter(|_| !sent.is_look()) {
+                self.mark(now, id, false, false, out);
+            }
             return;
         }
         self.set_aside(now, sent.node, true, out);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -341,6 +341,8 @@
     pub max_age: Option<Nanos>,
     /// Join a fill that is under way.
     pub join: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
     /// Leave no copy at the parent.
     pub no_parent_copy: bool,
     /// Serve an ageing copy and fetch it anew behind.
--- a/src/state.rs
+++ b/src/state.rs
@@ -175,6 +175,8 @@
     pub heard: Nanos,
     /// Set aside until then.
     pub aside_until: Nanos,
+    /// When it was last tried while on trial.
+    pub tried: Nanos,
     /// To be tried with one pull first.
     pub on_trial: bool,
 }
@@ -193,6 +195,7 @@
             out: 0,
             heard: Nanos::ZERO,
             aside_until: Nanos::ZERO,
+            tried: Nanos::ZERO,
             on_trial: false,
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,9 +17,10 @@
         let age = p.max_age.map_or(String::new(), |age| format!(" age<={:.3}", age.secs()));
         let join = if p.join { " join" } else { "" };
         let no_copy = if p.no_parent_copy { " no-parent-copy" } else { "" };
+        let held = if p.held_only { " held-only" } else { "" };
         let renew = if p.renew { " renew" } else { "" };
         let (node, source, rank) = (p.node.0, p.source.0, p.rank);
-        say!(self, "dl {}: pull {node} from {source} rank {rank}{age}{join}{no_copy}{renew}", dl.0);
+        say!(self, "dl {}: pull {node} from {source} rank {rank}{age}{join}{held}{no_copy}{renew}", dl.0);
     }
     fn call_off(&mut self, dl: DlId, number: u32) {
         say!(self, "dl {}: call off {number}", dl.0);
