--- a/src/decide.rs
+++ b/src/decide.rs
@@ -640,7 +640,9 @@
         if heard(sent.node) {
             // The node answers, so what is overdue hangs further up: at the source, or at the origin.
             let silent = [Some(sent.source), self.origin()].into_iter().flatten().find(|id| !heard(*id));
-            if let Some(id) = silent.filter(|_| !sent.is_look()) {
+            let Some(id) = silent.filter(|_| !sent.is_look()) else { return };
+            // Slow is not silent: anything heard from it lately keeps it in.
+            if self.nodes.get_mut(id.0).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
                 self.mark(now, id, false, false, out);
             }
             return;
