Turn a download away from caches too loaded to send it in time

Change: a cache takes a download only if, at its load, its sending time stays under 0.9 of its own target; large ones are so let go first, small ones last.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,7 @@
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 2.0; // the next cache in hash order takes over
 const CROWDED: f64 = 3.0; // with all this full, another download only crowds out those begun
+const IN_TIME: f64 = 0.9; // of the target time
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
 const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
@@ -320,7 +321,11 @@
         let tried = |id: NodeId| dl.pulls.iter().any(|p| p.node == id);
         let fresh = open.iter().copied().find(|id| !tried(*id) && self.load(*id) < FULL);
         let least = || open.iter().copied().min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
-        fresh.or_else(least).filter(|id| self.load(*id) < CROWDED)
+        // A download that this cache could not serve in time would only slow those begun.
+        let told = &self.row(&dl.d).told;
+        let target = told.target_time.secs() + told.target_stretch * dl.work_s;
+        let in_time = |load: f64| load < CROWDED && dl.work_s * load.max(1.0) < IN_TIME * target;
+        fresh.or_else(least).filter(|id| in_time(self.load(*id)))
     }
 
     /// The location's link divides itself among all fills, so one too many makes all of them late. Each
