Fill cold caches without a look and go past the caches when none is open

Change: a cold cache gets its fill without a look; with no cache open a download goes straight to a parent over the link, where that is allowed; a listed start replaces a judged one. Covers deploys and mass crashes; harm: under overload it puts downloads on the link that fills could use.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -126,12 +126,26 @@
         let chosen = match dl.missed_at {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
             Some(node) => self.source(now, &dl).map(|source| (node, source)),
-            None => self.edge(now, &dl).map(|node| (node, node)),
+            // A cold cache holds little: a look there would only spend what it can bear.
+            None => match self.edge(now, &dl) {
+                Some(node) if self.is_cold(now, node) => Some((node, self.source(now, &dl).unwrap_or(node))),
+                Some(node) => Some((node, node)),
+                None => self.past_the_caches(now, &dl),
+            },
         };
         let Some((node, source)) = chosen else { return self.wait(now, id, out) };
         self.serial = self.serial.wrapping_add(1);
         let sent = Sent { node, source, at: now, serial: self.serial, out: true };
-        let rank = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
+        let rank = match sent.is_look() {
+            _ if self.is_parent(node) => 0,
+            look => {
+                if look {
+                    dl.keep.hit_rank
+                } else {
+                    dl.keep.fill_rank
+                }
+            }
+        };
         let pull = Pull {
             node,
             source,
@@ -300,6 +314,19 @@
         n.spent.sums(now)[0] + work_s <= room / f64::from(sharers.max(1))
     }
 
+    fn is_cold(&self, now: Nanos, id: NodeId) -> bool {
+        let cold = |n: &Node| n.started != Nanos::ZERO && now.since(n.started) < self.s.cold_for;
+        self.nodes.get(id.0).is_some_and(cold)
+    }
+
+    /// With no cache of the location open, say because most have just restarted, the download goes
+    /// straight to a parent over the location's link, where that is allowed and the link has room.
+    fn past_the_caches(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
+        let origin = self.origin().filter(|_| self.s.direct && dl.may_have_run.is_none())?;
+        let parent = self.source(now, dl).filter(|id| *id != origin)?;
+        Some((parent, origin))
+    }
+
     fn load(&self, id: NodeId) -> f64 {
         let load = |n: &Node| f64::from(n.out * self.s.zone_dispatchers.max(1)) / n.e.weight.max(0.1);
         self.nodes.get(id.0).map_or(0.0, load)
--- a/src/state.rs
+++ b/src/state.rs
@@ -210,8 +210,8 @@
         if e.started > self.e.started {
             self.aside_until = Nanos::ZERO;
             self.on_trial = false;
+            self.started = e.started;
         }
-        self.started = self.started.max(e.started);
         self.listed = e.readiness == Readiness::Ready;
         self.e = *e;
     }
