--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,8 +16,8 @@
 const HORIZON_S: f64 = 20.0; // keep horizon: storage cost is one over it
 const MIDDLE_CUT: f64 = 1.0; // of the storage cost
 const TOP_CUT: f64 = 4.0;
-const MIDDLE_SHARE: f64 = 0.25; // of recent kept fills, middle and top rank together
-const TOP_SHARE: f64 = 0.08;
+const MIDDLE_SHARE: f64 = 0.3; // of recent kept fills, middle and top rank together
+const TOP_SHARE: f64 = 0.1;
 const FILLS_SEEN: Nanos = Nanos(10_000_000_000);
 // Health.
 const BUCKETS: usize = 8;
@@ -54,7 +54,7 @@
     dls: Slots<Dl>,
     shadows: Slots<Shadow>,
     order: Recent,
-    fills: Ring<20>,    // kept fills by the power of two of their ratio
+    fills: Ring<64>,    // kept fills by the quarter powers of two of their ratio
     fill_pace: Ring<2>, // time that fills took, and their sending time
     fills_out: f64,
     fill_limit: f64,
@@ -136,16 +136,8 @@
         let Some((node, source)) = chosen else { return self.wait(now, id, out) };
         self.serial = self.serial.wrapping_add(1);
         let sent = Sent { node, source, at: now, serial: self.serial, out: true };
-        let rank = match sent.is_look() {
-            _ if self.is_parent(node) => 0,
-            look => {
-                if look {
-                    dl.keep.hit_rank
-                } else {
-                    dl.keep.fill_rank
-                }
-            }
-        };
+        let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
+        let rank = if self.is_parent(node) { 0 } else { asked_of };
         let pull = Pull {
             node,
             source,
@@ -724,7 +716,7 @@
     }
 }
 
-/// The power of two of a ratio, as a place among the counted fills.
+/// The quarter power of two of a ratio, as a place among the counted fills.
 fn power(ratio: f64) -> usize {
-    (ratio.max(1.0).log2() as usize).min(19)
+    ((4.0 * ratio.max(1.0).log2()) as usize).min(63)
 }
