--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,7 +55,7 @@
     shadows: Slots<Shadow>,
     order: Recent,
     fills: Ring<64>,    // kept fills by the quarter powers of two of their ratio
-    fill_pace: Ring<2>, // time that fills took, and their sending time
+    fill_pace: Ring<3>, // time fills took to send, what is fair for that, and how long they waited first
     fills_out: f64,
     fill_limit: f64,
     fill_floor: f64,
@@ -172,8 +172,8 @@
         let leeway = told.target_time.secs() * WAIT_SHARE;
         let until = dl.taken.after(Nanos::from_secs(leeway)).min(dl.d.expires);
         // Where fills already run late, a wait would only make one more of them late.
-        let [took, fair] = self.fill_pace.sums(now);
-        if dl.missed_at.is_none() || self.link_has_room(&dl) || until <= now || took > WAIT_PACE * fair {
+        let [took, fair, _] = self.fill_pace.sums(now);
+        if dl.missed_at.is_none() || self.link_has_room(now, &dl) || until <= now || took > WAIT_PACE * fair {
             return self.give_up(now, id, out);
         }
         self.serial = self.serial.wrapping_add(1);
@@ -191,7 +191,7 @@
         waiting.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         for (_, _, id) in waiting {
             let Some(dl) = self.dls.get(id.0).cloned() else { continue };
-            if self.link_has_room(&dl) {
+            if self.link_has_room(now, &dl) {
                 self.pull(now, id, out);
             }
         }
@@ -351,7 +351,7 @@
     /// dispatcher keeps its own fills under a limit that follows how slow they run; as it comes near,
     /// what MC3 would not keep and what is large for its type is let go first. Guards against scans, cold
     /// caches, slow parents and huge objects alike; harms where fills are slow for reasons of their own.
-    fn link_has_room(&mut self, dl: &Dl) -> bool {
+    fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
         if self.fill_limit == 0.0 {
             let caches = self.nodes.iter().filter(|n| n.e.zone == self.s.zone);
             let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
@@ -361,7 +361,10 @@
         }
         let unkept = if dl.keep.fill_rank == 0 { 1.25 } else { 1.0 };
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
-        self.fills_out * unkept * size < self.fill_limit
+        // What waits for its first byte is not on the link.
+        let [took, _, waited] = self.fill_pace.sums(now);
+        let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
+        self.fills_out * on_link * unkept * size < self.fill_limit
     }
 
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
@@ -376,13 +379,14 @@
         let fair = dl.work_s + FILL_LEEWAY * leeway;
         self.fill_pace.add(now, 0, took);
         self.fill_pace.add(now, 1, fair);
+        self.fill_pace.add(now, 2, end.waited.unwrap_or_default().secs());
         // A parent may be quick to begin and slow to send: what its fills take over the leeway is charged
         // to its first byte, and fades while it is not asked. Nothing is charged on the ordinary path.
         if let Some(n) = self.nodes.get_mut(sent.source.0) {
             let old = n.charged_s(now, CHARGE_FADES);
             n.charge = (old + SMOOTH * ((took - fair).max(0.0) - old), now);
         }
-        let [took, fair] = self.fill_pace.sums(now);
+        let [took, fair, _] = self.fill_pace.sums(now);
         if took > fair {
             self.fill_limit = (self.fill_limit * 0.97).max(self.fill_floor);
         } else if self.fills_out > 0.7 * self.fill_limit {
@@ -393,7 +397,7 @@
     /// The better of the first two open parents in hash order, by smoothed time to first byte; with none
     /// open the origin.
     fn source(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
-        if !self.link_has_room(dl) {
+        if !self.link_has_room(now, dl) {
             return None;
         }
         let parents = self.nodes.iter().filter(|n| Some(n.e.kind) == self.s.parent_kind);
