--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,209 @@
+//! What was found to fail, and what the module does about it.
+
+mod common;
+use common::*;
+use copperroute::interface::*;
+use expect_test::{Expect, expect};
+
+/// Counts lines that hold each of `names`.
+fn counts(trace: &Trace, names: &[&str]) -> String {
+    let count = |name: &&str| format!("{name}: {}\n", trace.0.lines().filter(|l| l.contains(*name)).count());
+    names.iter().map(count).collect()
+}
+
+fn check(trace: &Trace, names: &[&str], expected: Expect) {
+    expected.assert_eq(&counts(trace, names));
+}
+
+#[test]
+fn fills_past_what_the_link_carries_are_refused_at_once() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for object in 0..30 {
+        ask(&mut module, ms(1_000), object, 0, object, &mut trace);
+        module.pull_ended(ms(1_001), DlId(object), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    check(
+        &trace,
+        &["from 3", "from 4", "throttled"],
+        expect![[r#"
+        from 3: 3
+        from 4: 5
+        throttled: 0
+    "#]],
+    );
+    // The waiting ones are let go as soon as they can no longer make their target time.
+    for token in 1..200 {
+        for dl in 0..30 {
+            module.timer(ms(1_170), dl << 32 | token, &mut trace);
+        }
+    }
+    check(
+        &trace,
+        &["throttled, come back", "abandoned"],
+        expect![[r#"
+        throttled, come back: 22
+        abandoned: 0
+    "#]],
+    );
+}
+
+#[test]
+fn a_silent_cache_is_set_aside_and_its_pulls_go_elsewhere() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for dl in 0..3 {
+        ask(&mut module, ms(1_000), dl, 0, 9, &mut trace);
+    }
+    module.timer(ms(1_600), 1, &mut trace);
+    for dl in 0..3 {
+        module.pull_ended(ms(1_600), DlId(dl), 0, &end(Outcome::CalledOff, Remark::None), &mut trace);
+    }
+    ask(&mut module, ms(1_700), 7, 0, 9, &mut trace);
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 1: pull 1 from 1 rank 1 join
+        dl 2: pull 1 from 1 rank 1 join
+        note: node 1 set aside
+        dl 0: call off 0
+        dl 1: call off 0
+        dl 2: call off 0
+        dl 0: pull 2 from 2 rank 0 join
+        dl 1: pull 2 from 2 rank 1 join
+        dl 2: pull 2 from 2 rank 1 join
+        dl 7: pull 2 from 2 rank 1 join
+    "#]]
+    .assert_eq(&trace.0);
+}
+
+#[test]
+fn a_cache_that_fails_fast_is_set_aside_then_tried_with_one_pull() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for dl in 0..4 {
+        ask(&mut module, ms(1_000), dl, 0, 9, &mut trace);
+        module.pull_ended(ms(1_010), DlId(dl), 0, &end(Outcome::Failed, Remark::None), &mut trace);
+    }
+    for (dl, at) in [(10, 7_000), (11, 7_001)] {
+        ask(&mut module, ms(at), dl, 0, 9, &mut trace);
+    }
+    module.pull_ended(ms(7_100), DlId(10), 0, &end(Outcome::Fulfilled, Remark::Hit), &mut trace);
+    ask(&mut module, ms(7_200), 12, 0, 9, &mut trace);
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 2 from 2 rank 0 join
+        dl 1: pull 1 from 1 rank 1 join
+        dl 1: pull 2 from 2 rank 1 join
+        dl 2: pull 1 from 1 rank 1 join
+        note: node 1 set aside
+        dl 2: pull 2 from 2 rank 1 join
+        dl 3: pull 2 from 2 rank 1 join
+        dl 3: pull 0 from 0 rank 1 join
+        dl 10: pull 1 from 1 rank 1 join
+        dl 11: pull 2 from 2 rank 1 join
+        dl 12: pull 1 from 1 rank 1 join
+    "#]]
+    .assert_eq(&trace.0);
+}
+
+#[test]
+fn a_silent_origin_leaves_the_parents_copies_in_use() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for dl in 0..4 {
+        ask(&mut module, ms(1_000), dl, 0, dl, &mut trace);
+        module.pull_ended(ms(1_001), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    // The caches and one parent answer, three fills that need the origin hang.
+    ask(&mut module, ms(1_400), 8, 0, 20, &mut trace);
+    for (dl, object) in [(9, 21), (10, 22), (11, 23), (12, 24), (13, 25), (14, 26)] {
+        ask(&mut module, ms(1_400), dl, 0, object, &mut trace);
+        module.pull_ended(ms(1_401), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+        module.pull_ended(
+            ms(1_450),
+            DlId(dl),
+            1,
+            &end(Outcome::Fulfilled, Remark::FilledFromCopy),
+            &mut trace,
+        );
+    }
+    for (dl, serial) in [(0, 2), (1, 4), (2, 6), (3, 8)] {
+        module.timer(ms(1_600), dl << 32 | serial, &mut trace);
+    }
+    trace.0.push_str("-- from here the origin is set aside\n");
+    let from = trace.0.find("note").unwrap_or(0);
+    ask(&mut module, ms(1_700), 20, 0, 30, &mut trace);
+    module.pull_ended(ms(1_701), DlId(20), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    module.pull_ended(ms(1_720), DlId(20), 1, &end(Outcome::NotHeld, Remark::SourceHasNone), &mut trace);
+    ask(&mut module, ms(1_800), 21, 2, 31, &mut trace);
+    expect![[r#"
+        note: node 5 set aside
+        -- from here the origin is set aside
+        dl 20: pull 1 from 1 rank 0 join
+        dl 20: pull 1 from 3 rank 0 join held-only
+        dl 20: throttled, come back
+        dl 21: throttled, come back
+    "#]]
+    .assert_eq(&trace.0[from..]);
+}
+
+#[test]
+fn a_parent_that_sends_slowly_is_left_for_the_other() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for dl in 0..6 {
+        let now = ms(1_000 + 100 * u64::from(dl));
+        ask(&mut module, now, dl, 0, 9, &mut trace);
+        module.pull_ended(now, DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+        let slow = trace.0.lines().last().is_some_and(|line| line.contains("from 3"));
+        let took = if slow { ms(900) } else { ms(130) };
+        let waited = Some(if slow { ms(10) } else { ms(30) });
+        let ended = PullEnd { took, waited, ..end(Outcome::Fulfilled, Remark::FilledFromCopy) };
+        module.pull_ended(now.after(ms(90)), DlId(dl), 1, &ended, &mut trace);
+    }
+    check(
+        &trace,
+        &["from 3", "from 4"],
+        expect![[r#"
+            from 3: 1
+            from 4: 5
+        "#]],
+    );
+}
+
+#[test]
+fn a_loaded_cache_turns_large_downloads_away_before_small_ones() {
+    // The same sizes at a high and at a low pace, which makes them short and long to send.
+    let refused = [10_000.0, 600.0].map(|pace| {
+        let mut s = settings();
+        s.content_types[0].target_stretch = 1.2;
+        s.client_kb_per_s = pace;
+        let mut trace = Trace::default();
+        let mut module = dispatcher(s, &mut trace);
+        (0..60).for_each(|dl| ask(&mut module, ms(1_000), dl, 0, 9, &mut trace));
+        trace.0.matches("throttled").count()
+    });
+    expect![[r#"
+        of 60 refused, short and long to send: [0, 47]
+    "#]]
+    .assert_eq(&format!("of 60 refused, short and long to send: {refused:?}\n"));
+}
+
+#[test]
+fn with_no_cache_open_a_parent_is_asked_straight() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    let gone = [0, 1, 2].map(|id| entry(id, 0, Readiness::Gone, Nanos::ZERO));
+    module.nodes_changed(ms(900), &gone, &mut trace);
+    ask(&mut module, ms(1_000), 0, 0, 9, &mut trace);
+    let mut s = settings();
+    s.direct = false;
+    let mut module = dispatcher(s, &mut trace);
+    module.nodes_changed(ms(900), &gone, &mut trace);
+    ask(&mut module, ms(1_000), 1, 0, 9, &mut trace);
+    expect![[r#"
+        dl 0: pull 4 from 5 rank 0 join
+        dl 1: throttled, come back
+    "#]]
+    .assert_eq(&trace.0);
+}
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -5,14 +5,17 @@
 use copperroute::interface::*;
 use expect_test::expect;
 
-/// Asks for an object `times` times, `gap` apart; each is answered with `remark`.
-fn repeated(times: u32, gap: u64, remark: Remark) -> String {
+/// Asks for object 9 after each of `gaps`; a look misses and the fill is answered with `remark`.
+fn missed(gaps: &[u64], remark: Remark) -> String {
     let mut trace = Trace::default();
     let mut module = dispatcher(settings(), &mut trace);
-    for n in 0..times {
-        let now = ms(1_000 + u64::from(n) * gap);
-        ask(&mut module, now, n, 0, 9, &mut trace);
-        module.pull_ended(now.after(ms(120)), DlId(n), 0, &end(Outcome::Fulfilled, remark), &mut trace);
+    let mut now = ms(1_000);
+    for (dl, gap) in gaps.iter().enumerate() {
+        now = now.after(ms(*gap));
+        let dl = dl as u32;
+        ask(&mut module, now, dl, 0, 9, &mut trace);
+        module.pull_ended(now, DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+        module.pull_ended(now.after(ms(120)), DlId(dl), 1, &end(Outcome::Fulfilled, remark), &mut trace);
     }
     trace.0
 }
@@ -21,18 +24,78 @@
 fn a_first_request_passes_unkept_and_the_second_is_kept() {
     expect![[r#"
         dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 4 rank 0 join
         dl 1: pull 1 from 1 rank 1 join
-        dl 2: pull 1 from 1 rank 1 join
+        dl 1: pull 1 from 3 rank 1 join
     "#]]
-    .assert_eq(&repeated(3, 5_000, Remark::FilledFromCopy));
+    .assert_eq(&missed(&[0, 5_000], Remark::FilledFromCopy));
 }
 
 #[test]
-fn what_is_asked_too_seldom_stays_unkept() {
+fn the_closer_copy_makes_it_not_worth_keeping() {
+    // 60 s apart: worth it two hops from a copy, not one hop from it.
+    let near = missed(&[0, 60_000], Remark::FilledFromCopy);
+    let far = missed(&[0, 60_000], Remark::FilledFromOrigin);
+    let last = |trace: &str| trace.lines().last().unwrap_or_default().to_string();
+    expect![[r#"
+        near dl 1: pull 1 from 3 rank 0 join
+        far  dl 1: pull 1 from 3 rank 1 join
+    "#]]
+    .assert_eq(&format!("near {}\nfar  {}\n", last(&near), last(&far)));
+}
+
+#[test]
+fn a_hit_on_what_is_not_worth_keeping_gets_the_lowest_rank() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for (dl, at) in [(0, 1_000), (1, 3_000), (2, 300_000)] {
+        ask(&mut module, ms(at), dl, 1, 9, &mut trace);
+        module.pull_ended(ms(at + 50), DlId(dl), 0, &end(Outcome::Fulfilled, Remark::Hit), &mut trace);
+    }
     expect![[r#"
         dl 0: pull 1 from 1 rank 0 join
         dl 1: pull 1 from 1 rank 1 join
         dl 2: pull 1 from 1 rank 1 join
     "#]]
-    .assert_eq(&repeated(3, 100_000, Remark::FilledFromCopy));
+    .assert_eq(&trace.0);
+}
+
+#[test]
+fn a_small_share_of_fills_gets_the_upper_ranks_and_the_top_skips_the_parent() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    let mut now = ms(1_000);
+    // Twenty objects asked for twice, 9 s apart; then one asked for ten times a second.
+    let asked = (0..40).map(|n| (n % 20, 450)).chain((0..6).map(|_| (50, 100)));
+    for (dl, (object, gap)) in asked.enumerate() {
+        now = now.after(ms(gap));
+        let dl = dl as u32;
+        ask(&mut module, now, dl, 0, object, &mut trace);
+        module.pull_ended(now, DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+        let filled = end(Outcome::Fulfilled, Remark::FilledFromCopy);
+        module.pull_ended(now.after(ms(20)), DlId(dl), 1, &filled, &mut trace);
+    }
+    let fills: Vec<_> = trace.0.lines().filter(|l| l.contains("from 3") || l.contains("from 4")).collect();
+    let ranks = |rank: &str| fills.iter().filter(|l| l.contains(rank)).count();
+    let (low, middle, top) = (ranks("rank 1"), ranks("rank 2"), ranks("rank 3"));
+    let skips = ranks("no-parent-copy");
+    expect![[r#"
+        low 20, middle 2, top 3, skip the parent 3
+    "#]]
+    .assert_eq(&format!("low {low}, middle {middle}, top {top}, skip the parent {skips}\n"));
+}
+
+#[test]
+fn uncacheable_downloads_pass_straight_to_the_origin() {
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for (dl, at) in [(0, 1_000), (1, 1_500)] {
+        ask(&mut module, ms(at), dl, 2, 9, &mut trace);
+        module.pull_ended(ms(at + 50), DlId(dl), 0, &end(Outcome::Fulfilled, Remark::None), &mut trace);
+    }
+    expect![[r#"
+        dl 0: pull 5 from 5 rank 0 join
+        dl 1: pull 5 from 5 rank 0 join
+    "#]]
+    .assert_eq(&trace.0);
 }
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,162 @@
+//! The five rules, as decision traces.
+
+mod common;
+use common::*;
+use copperroute::decide::Dispatcher;
+use copperroute::interface::*;
+use expect_test::expect;
+
+/// A dispatcher in the usual location, told `settings`.
+fn start(settings: Settings) -> (Dispatcher, Trace) {
+    let mut trace = Trace::default();
+    let module = dispatcher(settings, &mut trace);
+    (module, trace)
+}
+
+#[test]
+fn one_final_answer_whatever_comes_after() {
+    let (mut module, mut trace) = start(settings());
+    ask(&mut module, ms(1_000), 0, 0, 1, &mut trace);
+    module.client_gone(ms(1_100), DlId(0), &mut trace);
+    module.client_gone(ms(1_100), DlId(0), &mut trace);
+    module.pull_ended(ms(1_200), DlId(0), 0, &end(Outcome::CalledOff, Remark::None), &mut trace);
+    module.pull_ended(ms(1_300), DlId(0), 0, &end(Outcome::Failed, Remark::None), &mut trace);
+    // Out of time: the answer comes with the outcome, and nothing follows.
+    ask(&mut module, ms(2_000), 1, 0, 1, &mut trace);
+    module.pull_ended(ms(5_000), DlId(1), 0, &end(Outcome::TimedOut, Remark::None), &mut trace);
+    module.client_gone(ms(5_000), DlId(1), &mut trace);
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: call off 0
+        dl 1: pull 1 from 1 rank 1 join
+        dl 1: abandoned
+    "#]]
+    .assert_eq(&trace.0);
+}
+
+#[test]
+fn what_must_not_run_twice_goes_again_only_when_it_never_ran() {
+    let (mut module, mut trace) = start(settings());
+    ask(&mut module, ms(1_000), 0, 2, 1, &mut trace);
+    module.pull_ended(ms(1_100), DlId(0), 0, &end(Outcome::Unreachable, Remark::None), &mut trace);
+    module.pull_ended(ms(1_200), DlId(0), 1, &end(Outcome::Broken, Remark::None), &mut trace);
+    ask(&mut module, ms(1_300), 1, 2, 1, &mut trace);
+    module.pull_ended(ms(1_400), DlId(1), 0, &end(Outcome::TimedOut, Remark::None), &mut trace);
+    expect![[r#"
+        dl 0: pull 5 from 5 rank 0 join
+        dl 0: pull 3 from 5 rank 0 join
+        dl 0: abandoned
+        dl 1: pull 5 from 5 rank 0 join
+        dl 1: abandoned
+    "#]]
+    .assert_eq(&trace.0);
+}
+
+#[test]
+fn deduped_downloads_keep_to_their_group_and_window() {
+    let mut s = settings();
+    let window = ms(500);
+    s.content_types[0].repeat = Repeat::Deduped { scope: DedupScope::Cell, window };
+    s.content_types[1].repeat = Repeat::Deduped { scope: DedupScope::All, window };
+    let (mut module, mut trace) = start(s);
+    let mut other = entry(0, 0, Readiness::Ready, Nanos::ZERO);
+    other.cell = 9;
+    module.nodes_changed(ms(2), &[other], &mut trace);
+    for (dl, kind, wait) in [(0, 0, 100), (1, 1, 100), (2, 1, 600)] {
+        ask(&mut module, ms(1_000), dl, kind, 1, &mut trace);
+        let now = ms(1_000 + wait);
+        module.pull_ended(now, DlId(dl), 0, &end(Outcome::Broken, Remark::None), &mut trace);
+    }
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 2 from 2 rank 0 join
+        dl 1: pull 1 from 1 rank 1 join
+        dl 1: pull 0 from 0 rank 1 join
+        dl 2: pull 1 from 1 rank 1 join
+        note: node 1 set aside
+        dl 2: throttled, come back
+    "#]]
+    .assert_eq(&trace.0);
+}
+
+#[test]
+fn what_drains_or_is_gone_is_neither_asked_nor_named_as_a_source() {
+    let (mut module, mut trace) = start(settings());
+    let drained = [1, 3].map(|id| entry(id, u32::from(id == 3), Readiness::Draining, Nanos::ZERO));
+    module.nodes_changed(ms(900), &drained, &mut trace);
+    for object in 0..4 {
+        let now = ms(1_000 + u64::from(object));
+        ask(&mut module, now, object, 0, object, &mut trace);
+        module.pull_ended(now, DlId(object), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    // A whole list: what it leaves out is gone.
+    let kinds = [(2, 0), (4, 1), (5, 2)];
+    let list = kinds.map(|(id, kind)| entry(id, kind, Readiness::Ready, Nanos::ZERO));
+    module.nodes_listed(ms(1_100), &list, &mut trace);
+    ask(&mut module, ms(1_200), 9, 0, 0, &mut trace);
+    module.pull_ended(ms(1_201), DlId(9), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    expect![[r#"
+        dl 0: pull 0 from 0 rank 0 join
+        dl 0: pull 0 from 4 rank 0 join
+        dl 1: pull 0 from 0 rank 0 join
+        dl 1: pull 0 from 4 rank 0 join
+        dl 2: pull 0 from 0 rank 0 join
+        dl 2: pull 0 from 4 rank 0 join
+        dl 3: pull 0 from 0 rank 0 join
+        dl 3: pull 0 from 4 rank 0 join
+        dl 9: pull 2 from 2 rank 1 join
+        dl 9: pull 2 from 4 rank 1 join
+    "#]]
+    .assert_eq(&trace.0);
+}
+
+/// How many of 40 downloads at once go to node 1, a cache or parent that started `age` ago.
+fn sent_to_cold(kind: u32, age: u64) -> usize {
+    let (mut module, mut trace) = start(settings());
+    let (now, node) = (ms(60_000), if kind == 0 { 1 } else { 4 });
+    module.nodes_changed(now, &[entry(node, kind, Readiness::Ready, ms(60_000 - age))], &mut trace);
+    for object in 0..40 {
+        ask(&mut module, now, object, 0, object, &mut trace);
+        module.pull_ended(now, DlId(object), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    let name = if kind == 0 { format!("pull {node} ") } else { format!("from {node} ") };
+    trace.0.matches(&name).count()
+}
+
+#[test]
+fn cold_nodes_get_no_more_than_this_dispatchers_part() {
+    let caches = [0, 5_000, 10_000, 15_000].map(|age| sent_to_cold(0, age));
+    let parents = [0, 7_000, 14_000, 21_000].map(|age| sent_to_cold(1, age));
+    expect![[r#"
+        caches [6, 11, 14, 18]
+        parents [1, 4, 5, 5]
+    "#]]
+    .assert_eq(&format!("caches {caches:?}\nparents {parents:?}\n"));
+}
+
+#[test]
+fn purges_cap_the_age_at_looks_and_fills_until_copies_are_gone() {
+    let (mut module, mut trace) = start(settings());
+    let object = stable_hash(b"object-1");
+    module.object_purged(ms(1_000), object, ms(200), &mut trace);
+    for (dl, at, kind) in [(0, 1_000, 0), (1, 2_000, 0), (2, 3_000, 1), (3, 7_500, 0), (4, 9_000, 1)] {
+        if at == 2_000 {
+            module.group_purged(ms(at), 1, Nanos::ZERO, &mut trace);
+        }
+        ask(&mut module, ms(at), dl, kind, 1, &mut trace);
+        module.pull_ended(ms(at), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 age<=0.200 join
+        dl 0: pull 1 from 3 rank 0 age<=0.200 join
+        dl 1: pull 1 from 1 rank 1 age<=0.000 join
+        dl 1: pull 1 from 3 rank 1 age<=0.000 join
+        dl 2: pull 1 from 1 rank 1 age<=1.000 join
+        dl 2: pull 1 from 3 rank 1 age<=1.000 join
+        dl 3: pull 1 from 1 rank 1 age<=5.500 join
+        dl 3: pull 1 from 3 rank 1 age<=5.500 join
+        dl 4: pull 1 from 1 rank 1 join
+        dl 4: pull 1 from 3 rank 1 join
+    "#]]
+    .assert_eq(&trace.0);
+}
