--- a/src/decide.rs
+++ b/src/decide.rs
@@ -618,6 +618,10 @@
                     }
                 }
             }
+            // An origin that refuses some is overloaded: setting it aside would turn some service into none.
+            (Failed | Refused | NotHeld, Some(source)) if Some(source) == origin => {
+                self.suspect(now, source, out);
+            }
             (Failed | Refused | NotHeld, Some(source)) => self.mark(now, source, false, false, out),
             (Failed, None) => self.mark(now, sent.node, false, false, out),
             (Broken | Unreachable, _) => self.mark(now, sent.node, false, true, out),
@@ -625,6 +629,13 @@
         }
     }
 
+    /// Counts against a node only if nothing from it worked lately: slow is not silent.
+    fn suspect(&mut self, now: Nanos, id: NodeId, out: &mut impl Outbox) {
+        if self.nodes.get_mut(id.0).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
+            self.mark(now, id, false, false, out);
+        }
+    }
+
     /// Counts for or against a node; sets it aside when recent pulls failed too often, whatever the cause.
     fn mark(&mut self, now: Nanos, id: NodeId, worked: bool, died: bool, out: &mut impl Outbox) {
         let Some(n) = self.nodes.get_mut(id.0) else { return };
@@ -669,11 +680,7 @@
             // The node answers, so what is overdue hangs further up: at the source, or at the origin.
             let silent = [Some(sent.source), self.origin()].into_iter().flatten().find(|id| !heard(*id));
             let Some(id) = silent.filter(|_| !sent.is_look()) else { return };
-            // Slow is not silent: anything heard from it lately keeps it in.
-            if self.nodes.get_mut(id.0).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
-                self.mark(now, id, false, false, out);
-            }
-            return;
+            return self.suspect(now, id, out);
         }
         self.set_aside(now, sent.node, true, out);
         let retriable = |dl: &&Dl| self.row(&dl.d).told.repeat == Repeat::Retriable;
