--- a/src/decide.rs
+++ b/src/decide.rs
@@ -618,9 +618,8 @@
                     }
                 }
             }
-            // An origin that refuses is overloaded, not silent: set aside it would serve nothing at all.
-            (Refused, Some(source)) if Some(source) == origin => {}
-            (Failed, Some(source)) if Some(source) == origin => self.suspect(now, source, out),
+            // An origin that refuses some is overloaded: setting it aside would turn some service into none.
+            (Failed | Refused, Some(source)) if Some(source) == origin => self.suspect(now, source, out),
             (Failed | Refused | NotHeld, Some(source)) => self.mark(now, source, false, false, out),
             (Failed, None) => self.mark(now, sent.node, false, false, out),
             (Broken | Unreachable, _) => self.mark(now, sent.node, false, true, out),
