--- a/src/decide.rs
+++ b/src/decide.rs
@@ -510,7 +510,8 @@
             let share = ((worked + 2.0) / (worked + failed + 2.0)).max(FURTHER_FLOOR);
             let in_time = dl.d.expires.since(now).secs() > dl.work_s;
             let allowed = in_time && dl.pulls.len() < self.s.max_pulls as usize;
-            let nowhere = end.outcome == Outcome::NotHeld && !missed;
+            // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
+            let nowhere = (end.outcome == Outcome::NotHeld && !missed) || end.remark == Remark::OriginFailed;
             if allowed && !nowhere && (missed || self.chance.share() < share) {
                 self.pull(now, id, out);
             } else {
