--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,7 +13,7 @@
 
 // MC3's open choices, and the starting values of the design page.
 const TABLE: usize = 20_000; // shadow entries
-const HORIZON_S: f64 = 60.0; // keep horizon: storage cost is one over it
+const HORIZON_S: f64 = 20.0; // keep horizon: storage cost is one over it
 const MIDDLE_CUT: f64 = 1.0; // of the storage cost
 const TOP_CUT: f64 = 4.0;
 const MIDDLE_SHARE: f64 = 0.3; // of recent kept fills, middle and top rank together
