--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,6 @@
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 2.0; // the next cache in hash order takes over
-const PASS_LOAD: f64 = 1.0; // what is not kept goes past a cache with more
 const CROWDED: f64 = 3.0; // with all this full, another download only crowds out those begun
 const IN_TIME: f64 = 0.9; // of the target time
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
@@ -126,7 +125,7 @@
         let Some(dl) = self.dls.get(id.0).cloned() else { return };
         let chosen = match dl.missed_at {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
-            Some(node) => self.fill(now, &dl, node),
+            Some(node) => self.source(now, &dl).map(|source| (node, source)),
             // A cold cache holds little: a look there would only spend what it can bear.
             None => match self.edge(now, &dl) {
                 Some(node) if self.is_cold(now, node) => Some((node, self.source(now, &dl).unwrap_or(node))),
@@ -249,13 +248,11 @@
         if dl.keep.fill_rank > 0 && matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
             self.fills.add(now, power(dl.keep.ratio), 1.0);
         }
-        let past = self.is_parent(sent.node);
         let from_origin = Some(sent.source) == self.origin() && !self.s.fills_told;
         let entry = self.shadows.get_mut(dl.d.object.0);
         // The slot may have been given to another object meanwhile.
         let Some(entry) = entry.filter(|entry| entry.copy_hash == dl.d.copy_hash) else { return };
         match end.remark {
-            Remark::Hit if past => entry.hops = 1.0,
             Remark::FilledFromOrigin => entry.hops = 2.0,
             // Where fills by way of the origin are not told, the source that was named stands in.
             Remark::FilledFromCopy => entry.hops = if from_origin { 2.0 } else { 1.0 },
@@ -314,14 +311,6 @@
         self.nodes.get(id.0).is_some_and(cold)
     }
 
-    /// A miss is filled through the cache that was looked at. What would pass a busy cache unkept goes
-    /// past it: the same bytes on the location's link, and none on the cache's own.
-    fn fill(&mut self, now: Nanos, dl: &Dl, node: NodeId) -> Option<(NodeId, NodeId)> {
-        let past = dl.keep.fill_rank == 0 && self.load(node) > PASS_LOAD;
-        let straight = if past { self.past_the_caches(now, dl) } else { None };
-        straight.or_else(|| self.source(now, dl).map(|source| (node, source)))
-    }
-
     /// With no cache of the location open, say because most have just restarted, the download goes
     /// straight to a parent over the location's link, where that is allowed and the link has room.
     fn past_the_caches(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
@@ -393,8 +382,7 @@
         self.fill_pace.add(now, 2, end.waited.unwrap_or_default().secs());
         // A parent may be quick to begin and slow to send: what its fills take over the leeway is charged
         // to its first byte, and fades while it is not asked. Nothing is charged on the ordinary path.
-        let sender = if self.is_parent(sent.node) { sent.node } else { sent.source };
-        if let Some(n) = self.nodes.get_mut(sender.0) {
+        if let Some(n) = self.nodes.get_mut(sent.source.0) {
             let old = n.charged_s(now, CHARGE_FADES);
             n.charge = (old + SMOOTH * ((took - fair).max(0.0) - old), now);
         }
