Ask a slow origin for fewer fetches before it is pushed to its stop

Change: where settings tell that the origin can stop, the share of fills that may go by way of it falls with each first byte later than 0.7 of the download's target, and rises again; the rest is asked held-only. Uncacheable downloads are exempt.

--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -153,10 +153,6 @@
         say!(self, "arm\t{}\t{}\t{token}", self.instance, Secs(Some(span)));
     }
 
-    fn probe(&mut self, node: NodeId) {
-        say!(self, "poll\t{}\t{}", self.instance, self.addresses[node.0 as usize]);
-    }
-
     fn follow(&mut self) {
         say!(self, "follow\t{}\t1", self.instance);
     }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -39,6 +39,7 @@
 struct Instance {
     module: Dispatcher,
     door: Door,
+    types: u32,
 }
 
 /// The values of a line, taken in order.
@@ -168,14 +169,15 @@
 fn begin(fields: &mut Fields<'_>, number: u32) -> Result<Instance, String> {
     let seed = fields.number("init_seed")?;
     let settings = Options::new(&fields.parts[fields.at..])?.settings(seed)?;
-    Ok(Instance { module: Dispatcher::new(settings), door: Door::new(number) })
+    let types = settings.content_types.len() as u32;
+    Ok(Instance { module: Dispatcher::new(settings), door: Door::new(number), types })
 }
 
 /// Hands one event to the module. The lines of the list that belong to it come in `entries`.
 fn event(
     fields: &mut Fields<'_>,
     now: Nanos,
-    Instance { module, door }: &mut Instance,
+    Instance { module, door, types }: &mut Instance,
     entries: &[String],
 ) -> Result<(), String> {
     match fields.name {
@@ -203,7 +205,7 @@
             let part: u64 = fields.maybe("chunk")?.unwrap_or(0);
             let group = fields.maybe("group")?;
             let object_hash = stable_hash(name.as_bytes());
-            if !module.knows_type(content_type) {
+            if content_type.0 >= *types {
                 return Err(format!("request: priority: no content type {}", content_type.0));
             }
             let object = door.object(name, part);
@@ -253,14 +255,8 @@
             module.timer(now, fields.number("key_back")?, door);
         }
         "ping_result" => {
+            // The module sends no probes; the line is read and passed over.
             fields.expect(5)?;
-            let took = fields.secs("rtt_s")?;
-            let node = door.node(fields.text("host")?);
-            let passed = outcome(fields.text("state_code")?)? == Outcome::Fulfilled;
-            let load = load(fields.text("health_info")?)?;
-            if let Some(node) = node {
-                module.probed(now, node, passed, took, &load, door);
-            }
         }
         "voided" => {
             fields.expect(4)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,6 +1,6 @@
 //! Every decision of a dispatcher. An adapter makes one [`Dispatcher`] from the settings, calls `start`,
 //! then a method for each thing that happens: `nodes_listed`, `nodes_changed`, `download`, `first_byte`,
-//! `pull_ended`, `client_gone`, `timer`, `probed`, `object_purged`, `group_purged`. The module answers
+//! `pull_ended`, `client_gone`, `timer`, `object_purged`, `group_purged`. The module answers
 //! through the `Outbox` it is handed, before the call returns. Words and trait: `src/interface.rs`.
 //! `download` and `pull` are the ordinary path (MC3, docs/design.md); the rest acts when things fail.
 
@@ -39,6 +39,8 @@
 const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
 const WAIT_PACE: f64 = 0.8; // of their leeway that fills may use while others wait
 const WAIT_SHARE: f64 = 0.4; // of the target time may be spent waiting for a place on the link
+const FETCH_LATE: f64 = 0.7; // of the target time: an origin slower than that is of little use
+const FETCH_FLOOR: f64 = 0.2;
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -58,6 +60,7 @@
     fill_pace: Ring<3>, // time fills took to send, what is fair for that, and how long they waited first
     fills_out: f64,
     fill_limit: f64,
+    fetch_share: f64, // of the fills that may go by way of the origin
     fill_floor: f64,
     further: Ring<2>, // further pulls that worked, that failed
     purges: Purges,
@@ -79,6 +82,7 @@
             fill_pace: Ring::new(JUDGED_OVER, BUCKETS),
             fills_out: 0.0,
             fill_limit: 0.0,
+            fetch_share: 1.0,
             fill_floor: 0.0,
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
@@ -88,11 +92,6 @@
         }
     }
 
-    /// Whether the settings hold this content type.
-    pub fn knows_type(&self, id: TypeId) -> bool {
-        (id.0 as usize) < self.types.len()
-    }
-
     /// The dispatcher comes up.
     pub fn start(&mut self, _now: Nanos, out: &mut impl Outbox) {
         if self.s.list_is_asked {
@@ -145,7 +144,7 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
-            held_only: dl.missed_at.is_some() && self.is_parent(source) && !self.may_fetch(now),
+            held_only: dl.missed_at.is_some() && self.is_parent(source) && !self.may_fetch(now, false),
             no_parent_copy: rank == 3 && self.is_parent(source) && !sent.is_look(),
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
@@ -267,6 +266,11 @@
         &self.types[d.content_type.0 as usize]
     }
 
+    fn target_s(&self, dl: &Dl) -> f64 {
+        let told = &self.row(&dl.d).told;
+        told.target_time.secs() + told.target_stretch * dl.work_s
+    }
+
     /// The nodes that a pull may put work on.
     fn asked(&mut self, sent: &Sent) -> impl Iterator<Item = &mut Node> {
         let (node, source) = (sent.node, sent.source);
@@ -341,9 +345,8 @@
         let fresh = open.iter().copied().find(|id| !tried(*id) && self.load(*id) < FULL);
         let least = || open.iter().copied().min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
         // A download that this cache could not serve in time would only slow those begun.
-        let told = &self.row(&dl.d).told;
-        let target = told.target_time.secs() + told.target_stretch * dl.work_s;
-        let in_time = |load: f64| load < CROWDED && dl.work_s * load.max(1.0) < IN_TIME * target;
+        let target_s = self.target_s(dl);
+        let in_time = |load: f64| load < CROWDED && dl.work_s * load.max(1.0) < IN_TIME * target_s;
         fresh.or_else(least).filter(|id| in_time(self.load(*id)))
     }
 
@@ -415,20 +418,21 @@
 
     /// A stopped origin holds every fill that needs it until time runs out, and with them the places on
     /// the link. While it is set aside parents give only what they hold, and what they lack is given up
-    /// at once; then one fetch at a time tries it. Harms what a slow, but not silent, origin would serve.
-    fn may_fetch(&mut self, now: Nanos) -> bool {
+    /// at once; then one fetch at a time tries it. Of a slow one, pushed by all to its stop, fewer and
+    /// fewer fetches are asked as they come too late to be of use. Harms what it would have served late.
+    fn may_fetch(&mut self, now: Nanos, uncacheable: bool) -> bool {
         let Some(n) = self.origin().and_then(|id| self.nodes.get_mut(id.0)) else { return true };
         if n.aside_until > now || (n.on_trial && now.since(n.tried) < TRIAL_GAP) {
             return false;
         }
         n.tried = now;
-        true
+        uncacheable || self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share
     }
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
     fn runs_at(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
         let origin = self.origin().filter(|_| dl.may_have_run.is_none())?;
-        if !self.may_fetch(now) {
+        if !self.may_fetch(now, true) {
             return None;
         }
         if self.s.direct && dl.pulls.iter().all(|p| p.node != origin) {
@@ -495,7 +499,7 @@
         if !sent.is_look() {
             self.fill_ended(now, &dl, &sent, end);
         }
-        self.judge(now, &sent, end, out);
+        self.judge(now, &dl, &sent, end, out);
         if worked {
             self.learn(now, &dl, &sent, end);
         }
@@ -589,7 +593,7 @@
     // Health.
 
     /// Judges node and source by how a pull ended.
-    fn judge(&mut self, now: Nanos, sent: &Sent, end: &PullEnd, out: &mut impl Outbox) {
+    fn judge(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd, out: &mut impl Outbox) {
         use Outcome::*;
         self.asked(sent).for_each(|n| n.out = n.out.saturating_sub(1));
         let origin = self.origin();
@@ -610,6 +614,11 @@
                     self.mark(now, sent.source, true, false, out);
                     if let Some(origin) = origin.filter(|_| end.remark == Remark::FilledFromOrigin) {
                         self.mark(now, origin, true, false, out);
+                        let late = end.waited.unwrap_or_default().secs() > FETCH_LATE * self.target_s(dl);
+                        self.fetch_share = match late {
+                            true => (0.9 * self.fetch_share).max(FETCH_FLOOR),
+                            false => (self.fetch_share + 0.03).min(1.0),
+                        };
                         self.nodes.get_mut(origin.0).into_iter().for_each(|n| n.heard = now);
                     }
                     if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source.0)) {
@@ -689,9 +698,6 @@
         }
     }
 
-    /// A health check has come back.
-    pub fn probed(&mut self, _: Nanos, _: NodeId, _: bool, _: Nanos, _: &Load, _: &mut impl Outbox) {}
-
     // The list of nodes.
 
     /// The whole list: what is not in it is gone.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -361,8 +361,6 @@
     fn abandon(&mut self, dl: DlId);
     /// Asks for [`crate::decide::Dispatcher::timer`] with `token` after `span`.
     fn arm(&mut self, span: Nanos, token: u64);
-    /// Sends a health check.
-    fn probe(&mut self, node: NodeId);
     /// Opens the standing subscription to the list of nodes.
     fn follow(&mut self);
     /// Writes a line for on-call staff.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,9 +32,6 @@
         say!(self, "dl {}: abandoned", dl.0);
     }
     fn arm(&mut self, _span: Nanos, _token: u64) {}
-    fn probe(&mut self, node: NodeId) {
-        say!(self, "probe {}", node.0);
-    }
     fn follow(&mut self) {
         say!(self, "follow");
     }
