--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,7 +39,9 @@
 const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
 const WAIT_PACE: f64 = 0.8; // of their leeway that fills may use while others wait
 const WAIT_SHARE: f64 = 0.4; // of the target time may be spent waiting for a place on the link
-const FETCH_LATE: f64 = 0.7; // of the target time: an origin slower than that is of little use
+const FETCH_LATE: f64 = 0.4; // of the target time, and
+const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
+const FETCH_USUAL_S: f64 = 0.1; // until seen
 const FETCH_FLOOR: f64 = 0.2;
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
@@ -60,6 +62,7 @@
     fill_pace: Ring<3>, // time fills took to send, what is fair for that, and how long they waited first
     fills_out: f64,
     fill_limit: f64,
+    fetch_usual_s: f64,
     fetch_share: f64, // of the fills that may go by way of the origin
     fill_floor: f64,
     further: Ring<2>, // further pulls that worked, that failed
@@ -82,6 +85,7 @@
             fill_pace: Ring::new(JUDGED_OVER, BUCKETS),
             fills_out: 0.0,
             fill_limit: 0.0,
+            fetch_usual_s: FETCH_USUAL_S,
             fetch_share: 1.0,
             fill_floor: 0.0,
             further: Ring::new(JUDGED_OVER, BUCKETS),
@@ -614,7 +618,10 @@
                     self.mark(now, sent.source, true, false, out);
                     if let Some(origin) = origin.filter(|_| end.remark == Remark::FilledFromOrigin) {
                         self.mark(now, origin, true, false, out);
-                        let late = end.waited.unwrap_or_default().secs() > FETCH_LATE * self.target_s(dl);
+                        let waited_s = end.waited.unwrap_or_default().secs();
+                        let late =
+                            waited_s > (FETCH_LATE * self.target_s(dl)).max(FETCH_SLOW * self.fetch_usual_s);
+                        self.fetch_usual_s += 0.01 * (waited_s - self.fetch_usual_s).min(self.fetch_usual_s);
                         self.fetch_share = match late {
                             true => (0.9 * self.fetch_share).max(FETCH_FLOOR),
                             false => (self.fetch_share + 0.03).min(1.0),
