--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,8 +37,6 @@
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
 const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
-const WAIT_PACE: f64 = 0.8; // of their leeway that fills may use while others wait
-const WAIT_SHARE: f64 = 0.4; // of the target time may be spent waiting for a place on the link
 const FETCH_LATE: f64 = 0.4; // of the target time, and
 const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
 const FETCH_USUAL_S: f64 = 0.1; // until seen
@@ -116,7 +114,7 @@
         // Where sizes are not told, what its object took, or its content type takes, stands in.
         let work_s = told.or(seen).unwrap_or(self.row(d).mean_work_s);
         let (stage, pulls, missed_at, may_have_run) = (Stage::Taken, Vec::new(), None, None);
-        let dl = Dl { d: *d, stage, taken: now, work_s, keep, pulls, missed_at, waits: 0, may_have_run };
+        let dl = Dl { d: *d, stage, work_s, keep, pulls, missed_at, may_have_run };
         self.dls.put(d.dl.0, dl);
         self.pull(now, d.dl, out);
     }
@@ -136,7 +134,7 @@
                 None => self.past_the_caches(now, &dl),
             },
         };
-        let Some((node, source)) = chosen else { return self.wait(now, id, out) };
+        let Some((node, source)) = chosen else { return self.give_up(now, id, out) };
         self.serial = self.serial.wrapping_add(1);
         let sent = Sent { node, source, at: now, serial: self.serial, out: true };
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
@@ -167,39 +165,6 @@
         out.arm(look, u64::from(id.0) << 32 | u64::from(sent.serial));
     }
 
-    /// A miss that finds the link full waits for a place, as long as it can still make its target time;
-    /// then, like all that has no place to wait for, it is given up at once. Smooths short bursts.
-    fn wait(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
-        let Some(dl) = self.dls.get(id.0).cloned() else { return };
-        let told = &self.row(&dl.d).told;
-        let leeway = told.target_time.secs() * WAIT_SHARE;
-        let until = dl.taken.after(Nanos::from_secs(leeway)).min(dl.d.expires);
-        // Where fills already run late, a wait would only make one more of them late.
-        let [took, fair, _] = self.fill_pace.sums(now);
-        if dl.missed_at.is_none() || self.link_has_room(now, &dl) || until <= now || took > WAIT_PACE * fair {
-            return self.give_up(now, id, out);
-        }
-        self.serial = self.serial.wrapping_add(1);
-        if let Some(dl) = self.dls.get_mut(id.0) {
-            dl.waits = self.serial;
-        }
-        self.move_to(id, Stage::Waiting, out);
-        out.arm(until.since(now), u64::from(id.0) << 32 | u64::from(self.serial));
-    }
-
-    /// A place on the link is free: what MC3 keeps goes first, then what is small.
-    fn admit(&mut self, now: Nanos, out: &mut impl Outbox) {
-        let waiting = self.dls.iter().filter(|dl| dl.stage == Stage::Waiting);
-        let mut waiting: Vec<_> = waiting.map(|dl| (dl.keep.fill_rank == 0, dl.work_s, dl.d.dl)).collect();
-        waiting.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, id) in waiting {
-            let Some(dl) = self.dls.get(id.0).cloned() else { continue };
-            if self.link_has_room(now, &dl) {
-                self.pull(now, id, out);
-            }
-        }
-    }
-
     // MC3.
 
     /// Counts a request in the shadow table and returns the entry.
@@ -527,9 +492,6 @@
             }
         }
         self.settle(id, out);
-        if !sent.is_look() {
-            self.admit(now, out);
-        }
     }
 
     /// Gives up at once: throttled where trying again is harmless, else abandoned.
@@ -549,7 +511,7 @@
         use Stage::*;
         let Some(dl) = self.dls.get_mut(id.0) else { return false };
         let allowed = match dl.stage {
-            Taken | Waiting => matches!(to, Pulling | Throttled | Abandoned | Left),
+            Taken => matches!(to, Pulling | Throttled | Abandoned | Left),
             Pulling => to != Taken,
             Streaming => matches!(to, Fulfilled | Left),
             Fulfilled | Throttled | Abandoned | Left => false,
@@ -570,7 +532,7 @@
     /// Lets go of an answered download once all its pulls are in.
     fn settle(&mut self, id: DlId, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get(id.0) else { return };
-        let open = matches!(dl.stage, Stage::Taken | Stage::Waiting | Stage::Pulling | Stage::Streaming);
+        let open = matches!(dl.stage, Stage::Taken | Stage::Pulling | Stage::Streaming);
         if !open && dl.pulls.iter().all(|p| !p.out) {
             self.dls.clear(id.0);
             out.release(id);
@@ -684,9 +646,6 @@
             return out.follow();
         }
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
-        if dl.stage == Stage::Waiting && dl.waits == token as u32 {
-            return self.give_up(now, dl.d.dl, out);
-        }
         let sent = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied();
         let Some(sent) = sent else { return };
         let heard =
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,8 +56,6 @@
 pub enum Stage {
     /// Taken, nothing sent.
     Taken,
-    /// Nothing is out; it waits for a place on the location's link.
-    Waiting,
     /// A pull is out, or about to be.
     Pulling,
     /// Bound to a stream that has begun.
@@ -112,8 +110,6 @@
     pub d: Download,
     /// Where it stands.
     pub stage: Stage,
-    /// When it came.
-    pub taken: Nanos,
     /// Its sending time, told or judged.
     pub work_s: f64,
     /// What MC3 says.
@@ -122,8 +118,6 @@
     pub pulls: Vec<Sent>,
     /// The cache that was looked at last and holds nothing.
     pub missed_at: Option<NodeId>,
-    /// The number of its last wait.
-    pub waits: u32,
     /// The first pull that is not proved never to have run.
     pub may_have_run: Option<(Nanos, NodeId)>,
 }
