--- a/src/decide.rs
+++ b/src/decide.rs
@@ -146,7 +146,7 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
-            held_only: dl.missed_at.is_some() && self.is_parent(source) && !self.may_fetch(now, false),
+            held_only: !sent.is_look() && self.is_parent(source) && !self.may_fetch(now, false),
             no_parent_copy: rank == 3 && self.is_parent(source) && !sent.is_look(),
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
@@ -289,7 +289,7 @@
     fn past_the_caches(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
         let origin = self.origin().filter(|_| self.s.direct && dl.may_have_run.is_none())?;
         let parent = self.source(now, dl).filter(|id| *id != origin)?;
-        Some((parent, origin))
+        self.may_fetch(now, false).then_some((parent, origin))
     }
 
     fn load(&self, id: NodeId) -> f64 {
