Set at most half of a location's answering caches aside; a reset is not a death

Change: of the nodes that still answer at most half go at a time; a broken connection no longer makes a node count as restarted. Also guards against a bad path or a bad machine kind; harms where nearly all are really broken.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -601,7 +601,8 @@
             (Failed | Refused, Some(source)) if Some(source) == origin => self.suspect(now, source, out),
             (Failed | Refused | NotHeld, Some(source)) => self.mark(now, source, false, false, out),
             (Failed, None) => self.mark(now, sent.node, false, false, out),
-            (Broken | Unreachable, _) => self.mark(now, sent.node, false, true, out),
+            (Broken, _) => self.mark(now, sent.node, false, false, out),
+            (Unreachable, _) => self.mark(now, sent.node, false, true, out),
             _ => {}
         }
     }
@@ -618,10 +619,20 @@
         let Some(n) = self.nodes.get_mut(id.0) else { return };
         n.ended.add(now, usize::from(!worked), 1.0);
         let [ok, failed] = n.ended.sums(now);
+        let kind = n.e.kind;
         if worked {
             n.on_trial = false;
         } else if n.on_trial || (failed >= FAILURES && failed > FAILED_SHARE * (ok + failed)) {
-            self.set_aside(now, id, died, out);
+            // Of those that still answer at most half go at a time: where more fail, the others would only
+            // be overrun, and a further pull serves better. Harms where all but a few are really broken.
+            let upper = [self.s.parent_kind, self.s.origin_kind].contains(&Some(kind));
+            let peer = |n: &&Node| n.listed && if upper { n.e.kind == kind } else { n.e.zone == self.s.zone };
+            let (aside, all) = self.nodes.iter().filter(peer).fold((1, 0), |(aside, all), n| {
+                (aside + u32::from(n.aside_until > now && n.e.node != id), all + 1)
+            });
+            if died || ok == 0.0 || 2 * aside <= all {
+                self.set_aside(now, id, died, out);
+            }
         }
     }
 
