--- a/src/decide.rs
+++ b/src/decide.rs
@@ -382,7 +382,12 @@
         let first_byte = |id: NodeId| self.nodes.get(id.0).map_or(0.0, charged);
         let two = parents.iter().take(2).map(|(_, id)| (failed(*id), first_byte(*id), *id));
         let best = two.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        best.map(|(_, _, id)| id).or_else(|| self.origin().filter(|id| self.open(now, *id, mean)))
+        // With no parent open all locations turn to the origin at once, uncached and unjoined: each
+        // dispatcher asks it for a few at a time only.
+        let few = |n: &Node| f64::from(n.out) < self.fill_floor;
+        let origin = self.origin().filter(|id| best.is_none() && self.nodes.get(id.0).is_some_and(few));
+        let origin = origin.filter(|id| self.open(now, *id, mean) && self.may_fetch(now, false));
+        best.map(|(_, _, id)| id).or(origin)
     }
 
     /// A stopped origin holds every fill that needs it until time runs out, and with them the places on
@@ -568,6 +573,9 @@
             Remark::OriginFailed => origin,
             _ => None,
         };
+        if end.remark == Remark::OriginFailed || (end.outcome == Refused && Some(sent.source) == origin) {
+            self.fetched(true);
+        }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
         if let Some(n) = self.nodes.get_mut(sent.node.0).filter(|_| answered) {
             n.heard = now;
@@ -584,10 +592,7 @@
                         let late =
                             waited_s > (FETCH_LATE * self.target_s(dl)).max(FETCH_SLOW * self.fetch_usual_s);
                         self.fetch_usual_s += 0.01 * (waited_s - self.fetch_usual_s).min(self.fetch_usual_s);
-                        self.fetch_share = match late {
-                            true => (0.9 * self.fetch_share).max(FETCH_FLOOR),
-                            false => (self.fetch_share + 0.03).min(1.0),
-                        };
+                        self.fetched(late);
                         self.nodes.get_mut(origin.0).into_iter().for_each(|n| n.heard = now);
                     }
                     if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source.0)) {
@@ -607,6 +612,12 @@
         }
     }
 
+    /// An origin that is too slow, or turns fetches away, is asked for fewer.
+    fn fetched(&mut self, too_slow: bool) {
+        let share = if too_slow { 0.9 * self.fetch_share } else { self.fetch_share + 0.03 };
+        self.fetch_share = share.clamp(FETCH_FLOOR, 1.0);
+    }
+
     /// Counts against a node only if nothing from it worked lately: slow is not silent.
     fn suspect(&mut self, now: Nanos, id: NodeId, out: &mut impl Outbox) {
         if self.nodes.get_mut(id.0).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
