--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,6 +40,7 @@
 const FETCH_LATE: f64 = 0.4; // of the target time, and
 const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
 const FETCH_USUAL_S: f64 = 0.1; // until seen
+const ORIGIN_PART: f64 = 0.6; // of the fill limit, for fills that no parent stands before
 const FETCH_FLOOR: f64 = 0.2;
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
@@ -384,7 +385,7 @@
         let best = two.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         // With no parent open all locations turn to the origin at once, uncached and unjoined: each
         // dispatcher asks it for a few at a time only.
-        let few = |n: &Node| f64::from(n.out) < self.fill_floor;
+        let few = |n: &Node| f64::from(n.out) < ORIGIN_PART * self.fetch_share * self.fill_limit;
         let origin = self.origin().filter(|id| best.is_none() && self.nodes.get(id.0).is_some_and(few));
         let origin = origin.filter(|id| self.open(now, *id, mean) && self.may_fetch(now, false));
         best.map(|(_, _, id)| id).or(origin)
