--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,7 @@
 const JUDGED_OVER: Nanos = Nanos(2_000_000_000);
 const FAILURES: f64 = 3.0; // fewer say nothing of a node
 const FAILED_SHARE: f64 = 0.3;
+const DEAD_ROW: u32 = 6; // failures with none between that worked
 const ASIDE: Nanos = Nanos(3_000_000_000);
 const ASIDE_SPREAD_S: f64 = 2.0;
 const OVERDUE_STRETCH: f64 = 2.0; // a pull is looked at after this many times its work and
@@ -631,7 +632,8 @@
         let Some(n) = self.nodes.get_mut(id.0) else { return };
         n.ended.add(now, usize::from(!worked), 1.0);
         let [ok, failed] = n.ended.sums(now);
-        let kind = n.e.kind;
+        n.in_row = if worked { 0 } else { n.in_row + 1 };
+        let (kind, dead) = (n.e.kind, n.in_row >= DEAD_ROW);
         if worked {
             n.on_trial = false;
         } else if n.on_trial || (failed >= FAILURES && failed > FAILED_SHARE * (ok + failed)) {
@@ -642,7 +644,7 @@
             let (aside, all) = self.nodes.iter().filter(peer).fold((1, 0), |(aside, all), n| {
                 (aside + u32::from(n.aside_until > now && n.e.node != id), all + 1)
             });
-            if died || ok == 0.0 || 2 * aside <= all {
+            if died || dead || 2 * aside <= all {
                 self.set_aside(now, id, died, out);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,8 @@
     pub started: Nanos,
     /// Recent pulls that worked and that failed.
     pub ended: Ring<2>,
+    /// Failures since anything worked.
+    pub in_row: u32,
     /// Sending time put on it lately.
     pub spent: Ring<1>,
     /// Smoothed time to first byte of its fills.
@@ -184,6 +186,7 @@
             started: e.started,
             ended: Ring::new(judged_over, buckets),
             spent: Ring::new(spent_over, buckets),
+            in_row: 0,
             first_byte_s: None,
             charge: (0.0, Nanos::ZERO),
             out: 0,
