Count no client's repeat as a request in the shadow table

Repeats of refused downloads came within a second, looked like hot objects, and had one-off objects kept, some at upper ranks. Change: a marked repeat leaves gap and time as they were. Also guards any jam with refusals; where clients don't mark repeats it does nothing.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -176,7 +176,10 @@
             let gap = now.since(known.last).secs().max(1e-3);
             // After twice the estimate without requests, the estimate is the gap so far.
             let old = known.gap_s.map_or(gap, |old| if gap > 2.0 * old { gap } else { old });
-            entry = Shadow { gap_s: Some(0.5 * gap + 0.5 * old), last: now, ..*known };
+            // A client's repeat is no request more: else a jam would have all that it refuses kept, scans
+            // too, and feed itself.
+            let counted = Shadow { gap_s: Some(0.5 * gap + 0.5 * old), last: now, ..*known };
+            entry = if d.repeat { *known } else { counted };
         } else if self.order.len() >= TABLE {
             self.order.drop_oldest().into_iter().for_each(|old| out.release_object(ObjectId(old)));
         }
@@ -267,12 +270,10 @@
             (s.cold_share, s.cold_for, s.fall_multiple, s.zone_dispatchers)
         };
         let Some(n) = self.nodes.get_mut(id.0) else { return false };
-        if !n.listed || n.aside_until > now || (n.on_trial && n.out > 0) {
-            return false;
-        }
         let age = now.since(n.started);
-        if n.started == Nanos::ZERO || age >= cold_for {
-            return true;
+        let ready = n.listed && n.aside_until <= now && !(n.on_trial && n.out > 0);
+        if !ready || n.started == Nanos::ZERO || age >= cold_for {
+            return ready;
         }
         // A cold node bears multiple x present capacity x window from all dispatchers together. Each keeps
         // to its own part of what the node can do, so they need no agreement and sizes may be rough.
@@ -282,8 +283,8 @@
     }
 
     fn is_cold(&self, now: Nanos, id: NodeId) -> bool {
-        let cold = |n: &Node| n.started != Nanos::ZERO && now.since(n.started) < self.s.cold_for;
-        self.nodes.get(id.0).is_some_and(cold)
+        let n = self.nodes.get(id.0);
+        n.is_some_and(|n| n.started != Nanos::ZERO && now.since(n.started) < self.s.cold_for)
     }
 
     /// With no cache of the location open, say because most have just restarted, the download goes
@@ -407,8 +408,8 @@
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
     fn runs_at(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
-        let origin = self.origin().filter(|_| dl.may_have_run.is_none())?;
-        if !self.may_fetch(now, true) {
+        let origin = self.origin()?;
+        if dl.may_have_run.is_some() || !self.may_fetch(now, true) {
             return None;
         }
         if self.s.direct && dl.pulls.iter().all(|p| p.node != origin) {
@@ -462,10 +463,10 @@
         let Some(sent) = dl.pulls.get_mut(number as usize).filter(|p| p.out) else { return };
         sent.out = false;
         let sent = *sent;
-        let missed = end.outcome == Outcome::NotHeld && sent.is_look();
-        let again = number > 0 && dl.missed_at.is_none() && !missed;
-        let worked = end.outcome == Outcome::Fulfilled;
-        use Outcome::{NotHeld, NotSent, Refused, Unreachable};
+        use Outcome::{CalledOff, Fulfilled, NotHeld, NotSent, Refused, Unreachable};
+        let missed = end.outcome == NotHeld && sent.is_look();
+        let again = number > 0 && dl.missed_at.is_none() && !missed && end.outcome != CalledOff;
+        let worked = end.outcome == Fulfilled;
         let never_ran = matches!(end.outcome, Refused | Unreachable | NotSent | NotHeld);
         if !worked && !never_ran && dl.may_have_run.is_none() {
             dl.may_have_run = Some((sent.at, sent.node));
@@ -479,7 +480,7 @@
         if worked {
             self.learn(now, &dl, &sent, end);
         }
-        if again && end.outcome != Outcome::CalledOff {
+        if again {
             self.further.add(now, usize::from(!worked), 1.0);
         }
         if end.closed {
@@ -491,7 +492,7 @@
             let in_time = dl.d.expires.since(now).secs() > dl.work_s;
             let allowed = in_time && dl.pulls.len() < self.s.max_pulls as usize;
             // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
-            let nowhere = (end.outcome == Outcome::NotHeld && !missed) || end.remark == Remark::OriginFailed;
+            let nowhere = (end.outcome == NotHeld && !missed) || end.remark == Remark::OriginFailed;
             if allowed && !nowhere && (missed || self.chance.share() < share) {
                 self.pull(now, id, out);
             } else {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -244,6 +244,8 @@
     pub group: Option<u64>,
     /// When the client stops waiting for this try.
     pub expires: Nanos,
+    /// A client's repeat of a download that was not served, where clients mark it.
+    pub repeat: bool,
     /// Its size, where told.
     pub size_kb: Option<f64>,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -120,6 +120,19 @@
 
 /// Download `dl` of content type `kind` for object `object`, which expires 3 s from now.
 pub fn ask(module: &mut Dispatcher, now: Nanos, dl: u32, kind: u32, object: u32, trace: &mut Trace) {
+    ask_as(module, now, dl, kind, object, false, trace);
+}
+
+/// The same, marked as a client's repeat or not.
+pub fn ask_as(
+    module: &mut Dispatcher,
+    now: Nanos,
+    dl: u32,
+    kind: u32,
+    object: u32,
+    repeat: bool,
+    trace: &mut Trace,
+) {
     let hash = stable_hash(format!("object-{object}").as_bytes());
     let d = Download {
         dl: DlId(dl),
@@ -129,6 +142,7 @@
         object_hash: hash,
         group: Some(u64::from(object % 4)),
         expires: now.after(ms(3_000)),
+        repeat,
         size_kb: Some(1_000.0),
     };
     module.download(now, &d, trace);
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -99,3 +99,23 @@
     "#]]
     .assert_eq(&trace.0);
 }
+
+#[test]
+fn a_clients_repeat_is_no_request_more() {
+    // Found on scans: repeats of refused downloads had one-off objects kept, at the upper ranks even.
+    let mut trace = Trace::default();
+    let mut module = dispatcher(settings(), &mut trace);
+    for (dl, at, repeat) in [(0, 1_000, false), (1, 1_200, true), (2, 9_000, false)] {
+        ask_as(&mut module, ms(at), dl, 0, 9, repeat, &mut trace);
+        module.pull_ended(ms(at), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 4 rank 0 join
+        dl 1: pull 1 from 1 rank 0 join
+        dl 1: pull 1 from 4 rank 0 join
+        dl 2: pull 1 from 1 rank 1 join
+        dl 2: pull 1 from 4 rank 1 join
+    "#]]
+    .assert_eq(&trace.0);
+}
