--- a/src/decide.rs
+++ b/src/decide.rs
@@ -334,7 +334,7 @@
             self.fill_limit = (size / f64::from(self.s.zone_dispatchers.max(1))).max(1.0);
             self.fill_floor = (FILL_FLOOR * self.fill_limit).max(1.0);
         }
-        let unkept = if dl.keep.fill_rank == 0 { 1.25 } else { 1.0 };
+        let unkept = if dl.keep.fill_rank == 0 { 2.0 } else { 1.0 };
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
         // What waits for its first byte is not on the link.
         let [took, _, waited] = self.fill_pace.sums(now);
