--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,7 @@
 const FETCH_USUAL_S: f64 = 0.1; // until seen
 const ORIGIN_PART: f64 = 1.0; // of the fill limit, for fills that no parent stands before
 const FETCH_FLOOR: f64 = 0.2;
+const UNKEPT_PACE: f64 = 0.8; // of their leeway used by fills: what is not kept is let go first
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -334,11 +335,11 @@
             self.fill_limit = (size / f64::from(self.s.zone_dispatchers.max(1))).max(1.0);
             self.fill_floor = (FILL_FLOOR * self.fill_limit).max(1.0);
         }
-        let unkept = if dl.keep.fill_rank == 0 { 2.0 } else { 1.0 };
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
         // What waits for its first byte is not on the link.
-        let [took, _, waited] = self.fill_pace.sums(now);
+        let [took, fair, waited] = self.fill_pace.sums(now);
         let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
+        let unkept = if dl.keep.fill_rank == 0 && took > UNKEPT_PACE * fair { 2.0 } else { 1.0 };
         self.fills_out * on_link * unkept * size < self.fill_limit
     }
 
