--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -1,6 +1,6 @@
 //! The wire's start-up settings in the words of the interface.
 
-use copperroute::interface::{ContentType, DedupScope, Nanos, Repeat, Settings, Siblings, ZoneId};
+use copperroute::interface::{ContentType, DedupScope, Nanos, Repeat, Settings, ZoneId};
 use std::collections::HashMap;
 use std::str::FromStr;
 
@@ -84,9 +84,6 @@
         Ok(ContentType {
             target_time: self.span(&path("aim_s"))?,
             target_stretch: self.number_or(&path("aim_stretch"), 0.0)?,
-            expiry: self.span(&path("deadline_s"))?,
-            benefit: self.number(&path("value"))?,
-            late_share: self.number_or(&path("late_value"), 0.0)?,
             repeat,
             fresh_for: (fresh > 0.0).then(|| Nanos::from_secs(fresh)),
             uncacheable: matches!(self.listed("family_info.pass_on", at), Some("true" | "1")),
@@ -107,16 +104,10 @@
             parent_kind: self.kind("family_info.second_tier_kind")?,
             origin_kind: self.kind("family_info.root_kind")?,
             direct: self.flag("family_info.pass_through_ok")?,
-            siblings: match self.0.get("family_info.sideways").copied() {
-                Some("any") => Siblings::Any,
-                Some("location") => Siblings::Location,
-                _ => Siblings::None,
-            },
             joins: self.flag("family_info.shares_fills")?,
             fills_told: self.0.get("family_info.detail").copied() == Some("all"),
             client_kb_per_s: self.number_or("family_info.client_kb_per_s", 0.0)?,
             link_kb_per_s: self.listed_number("family_info.pipe_kb_per_s", zone as usize, 0.0)?,
-            weights_are_sizes: matches!(self.0.get("weights").copied(), Some("nominal" | "rough")),
             purge_done: self.span_or_zero("family_info.purge_done_s")?,
             purge_notice: self.span_or_zero("family_info.notice_time_s")?,
             cold_share: self.number("rules.cold_share")?,
@@ -127,15 +118,11 @@
             parent_cold_for: self.span_or_zero("family_info.parent_cold_s")?,
             parent_fall_multiple: self.number_or("family_info.parent_breaks_at", 1.0)?,
             origin_stop_multiple: self.number_or("family_info.origin_stops_at", 0.0)?,
-            origin_stop_for: self.span_or_zero("family_info.origin_bears_s")?,
             list_is_asked: self.0.get("discovery").copied() == Some("subscribe"),
             cancel: self.flag("limits.cancel")?,
-            second_copies: self.flag("limits.second_copies")?,
-            probing: self.flag("limits.probing")?,
             come_back: self.flag("limits.retry_after")?,
             max_come_back: self.span_or_zero("limits.max_retry_after_s")?,
             max_pulls: self.number("limits.max_attempts")?,
-            connect_timeout: self.span_or_zero("limits.connect_timeout_s")?,
         })
     }
 }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -4,7 +4,7 @@
 use crate::settings::Options;
 use copperroute::decide::Dispatcher;
 use copperroute::interface::{
-    Download, Load, Nanos, NodeEntry, Outcome, PullEnd, Readiness, Remark, TypeId, ZoneId, mix, stable_hash,
+    Download, Nanos, NodeEntry, Outcome, PullEnd, Readiness, Remark, TypeId, ZoneId, mix, stable_hash,
 };
 use std::collections::BTreeMap;
 use std::fmt;
@@ -123,26 +123,6 @@
     }
 }
 
-fn load(text: &str) -> Result<Load, String> {
-    let mut load = Load::default();
-    if text == "-" {
-        return Ok(load);
-    }
-    for pair in text.split(',') {
-        let (name, value) =
-            pair.split_once(':').ok_or_else(|| format!("health_info: '{pair}' is not name:value"))?;
-        let value: f64 =
-            value.parse().map_err(|_| format!("health_info: {name}: expected a number, found '{value}'"))?;
-        match name {
-            "cpu_share" => load.busy_share = Some(value),
-            "busy_reqs" => load.held = Some(value),
-            "x1" => load.link = Some(value),
-            _ => {}
-        }
-    }
-    Ok(load)
-}
-
 fn entry(fields: &mut Fields<'_>, door: &mut Door) -> Result<NodeEntry, String> {
     if fields.name != "m" {
         return Err(format!("expected an entry 'm', found '{}'", fields.name));
@@ -239,9 +219,9 @@
             let _host = fields.text("host")?;
             let waited = Some(fields.secs("waited_s")?).filter(|span| span.0 > 0);
             let remark = remark(fields.maybe("remark")?.unwrap_or(0));
-            let load = load(fields.text("health_info")?)?;
+            // Load reports are not read; any text may stand there.
             if let Some(dl) = dl {
-                let end = PullEnd { outcome, took, closed, waited, remark, load };
+                let end = PullEnd { outcome, took, closed, waited, remark };
                 module.pull_ended(now, dl, number, &end, door);
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -92,17 +92,6 @@
     Cell,
 }
 
-/// From which caches a cache may be filled.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Siblings {
-    /// From no other cache.
-    None,
-    /// From caches of its own location.
-    Location,
-    /// From any cache.
-    Any,
-}
-
 /// What the settings say of a content type.
 #[derive(Debug, Clone)]
 pub struct ContentType {
@@ -110,12 +99,6 @@
     pub target_time: Nanos,
     /// Added to the target time, as a multiple of the download's own sending time.
     pub target_stretch: f64,
-    /// How long a client waits in all.
-    pub expiry: Nanos,
-    /// What an answer in time earns.
-    pub benefit: f64,
-    /// The share of the benefit that a late answer earns.
-    pub late_share: f64,
     /// Whether it may run again.
     pub repeat: Repeat,
     /// How long a copy is fresh; `None` for no limit.
@@ -143,8 +126,6 @@
     pub origin_kind: Option<u32>,
     /// Whether parents and the origin take pulls too.
     pub direct: bool,
-    /// From which caches a cache may be filled.
-    pub siblings: Siblings,
     /// Whether a download can join a fill that is under way.
     pub joins: bool,
     /// Whether answers tell a fill that a parent held from one that went to the origin.
@@ -153,8 +134,6 @@
     pub client_kb_per_s: f64,
     /// What the own location's link for fills carries, in KB a second; 0 if not told.
     pub link_kb_per_s: f64,
-    /// Whether a node's weight is its size in transfers, rather than a changing or constant value.
-    pub weights_are_sizes: bool,
     /// How long a purged copy may lie about.
     pub purge_done: Nanos,
     /// The time to heed a purge.
@@ -175,24 +154,16 @@
     pub parent_fall_multiple: f64,
     /// The origin stops when asked for this many times what it can do; 0 for never.
     pub origin_stop_multiple: f64,
-    /// For this long.
-    pub origin_stop_for: Nanos,
     /// The list of nodes comes only when followed.
     pub list_is_asked: bool,
     /// Pulls may be called off.
     pub cancel: bool,
-    /// A download may have two pulls out at once.
-    pub second_copies: bool,
-    /// Nodes may be probed.
-    pub probing: bool,
     /// Clients are told when to come back.
     pub come_back: bool,
     /// The longest advice that clients heed.
     pub max_come_back: Nanos,
     /// The most pulls for one download.
     pub max_pulls: u32,
-    /// A connection not made by then counts as unreachable.
-    pub connect_timeout: Nanos,
 }
 
 /// Where a node stands in its life.
@@ -300,17 +271,6 @@
     OriginFailed,
 }
 
-/// What a node reports of its load, where it does; a field it does not report is `None`.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Load {
-    /// Share of its processors that is busy.
-    pub busy_share: Option<f64>,
-    /// Downloads that it holds.
-    pub held: Option<f64>,
-    /// At a cache, how full its location's link is; at a parent, the fetches it has out.
-    pub link: Option<f64>,
-}
-
 /// The end of a pull.
 #[derive(Debug, Clone, Copy)]
 pub struct PullEnd {
@@ -324,8 +284,6 @@
     pub waited: Option<Nanos>,
     /// How the answer came about, where told.
     pub remark: Remark,
-    /// The node's load, where told.
-    pub load: Load,
 }
 
 /// A pull as the module orders it.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,12 +49,9 @@
 
 /// Three content types: retriable (0), retriable and fresh for 8 s (1), non-retriable at the origin (2).
 pub fn settings() -> Settings {
-    let row = |benefit, repeat, fresh: Option<u64>, uncacheable| ContentType {
+    let row = |repeat, fresh: Option<u64>, uncacheable| ContentType {
         target_time: ms(400),
         target_stretch: 2.0,
-        expiry: ms(3_000),
-        benefit,
-        late_share: 0.2,
         repeat,
         fresh_for: fresh.map(ms),
         uncacheable,
@@ -65,19 +62,17 @@
         dispatchers: 4,
         zone_dispatchers: 2,
         content_types: vec![
-            row(2.0, Repeat::Retriable, None, false),
-            row(1.0, Repeat::Retriable, Some(8_000), false),
-            row(3.0, Repeat::NonRetriable, None, true),
+            row(Repeat::Retriable, None, false),
+            row(Repeat::Retriable, Some(8_000), false),
+            row(Repeat::NonRetriable, None, true),
         ],
         parent_kind: Some(1),
         origin_kind: Some(2),
         direct: true,
-        siblings: Siblings::None,
         joins: true,
         fills_told: true,
         client_kb_per_s: 10_000.0,
         link_kb_per_s: 0.0,
-        weights_are_sizes: true,
         purge_done: ms(6_000),
         purge_notice: ms(500),
         cold_share: 0.2,
@@ -88,15 +83,11 @@
         parent_cold_for: ms(21_000),
         parent_fall_multiple: 2.0,
         origin_stop_multiple: 2.5,
-        origin_stop_for: ms(3_000),
         list_is_asked: false,
         cancel: true,
-        second_copies: false,
-        probing: false,
         come_back: true,
         max_come_back: ms(2_000),
         max_pulls: 6,
-        connect_timeout: ms(400),
     }
 }
 
@@ -151,5 +142,5 @@
 /// The end of a pull with this outcome and remark.
 pub fn end(outcome: Outcome, remark: Remark) -> PullEnd {
     let closed = outcome == Outcome::Fulfilled;
-    PullEnd { outcome, took: ms(120), closed, waited: Some(ms(20)), remark, load: Load::default() }
+    PullEnd { outcome, took: ms(120), closed, waited: Some(ms(20)), remark }
 }
