--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,7 +65,6 @@
     fill_limit: f64,
     fetch_usual_s: f64,
     fetch_share: f64, // of the fills that may go by way of the origin
-    fill_floor: f64,
     further: Ring<2>, // further pulls that worked, that failed
     purges: Purges,
     chance: Chance,
@@ -88,7 +87,6 @@
             fill_limit: 0.0,
             fetch_usual_s: FETCH_USUAL_S,
             fetch_share: 1.0,
-            fill_floor: 0.0,
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
             chance: Chance::new(s.seed),
@@ -149,7 +147,7 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
-            held_only: !sent.is_look() && self.is_parent(source) && !self.may_fetch(now, false),
+            held_only: !sent.is_look() && self.is_parent(source) && !self.may_fetch(now, dl.keep.fill_rank),
             no_parent_copy: rank == 3 && self.is_parent(source) && !sent.is_look(),
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
@@ -293,7 +291,7 @@
     fn past_the_caches(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
         let origin = self.origin().filter(|_| self.s.direct && dl.may_have_run.is_none())?;
         let parent = self.source(now, dl).filter(|id| *id != origin)?;
-        self.may_fetch(now, false).then_some((parent, origin))
+        self.may_fetch(now, dl.keep.fill_rank).then_some((parent, origin))
     }
 
     fn load(&self, id: NodeId) -> f64 {
@@ -329,11 +327,7 @@
     /// caches, slow parents and huge objects alike; harms where fills are slow for reasons of their own.
     fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
         if self.fill_limit == 0.0 {
-            let caches = self.nodes.iter().filter(|n| n.e.zone == self.s.zone);
-            let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
-            let size = if told > 0.0 { told / pace } else { 0.5 * caches.map(|n| n.e.weight).sum::<f64>() };
-            self.fill_limit = (size / f64::from(self.s.zone_dispatchers.max(1))).max(1.0);
-            self.fill_floor = (FILL_FLOOR * self.fill_limit).max(1.0);
+            self.fill_limit = self.link_part().max(1.0);
         }
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
         // What waits for its first byte is not on the link.
@@ -343,6 +337,14 @@
         self.fills_out * on_link * unkept * size < self.fill_limit
     }
 
+    /// This dispatcher's part of the link, in transfers; where not told, judged from the caches' own links.
+    fn link_part(&self) -> f64 {
+        let caches = self.nodes.iter().filter(|n| n.e.zone == self.s.zone);
+        let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
+        let size = if told > 0.0 { told / pace } else { 0.5 * caches.map(|n| n.e.weight).sum::<f64>() };
+        size / f64::from(self.s.zone_dispatchers.max(1))
+    }
+
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
     fn fill_ended(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd) {
         self.fills_out -= 1.0;
@@ -364,7 +366,7 @@
         }
         let [took, fair, _] = self.fill_pace.sums(now);
         if took > fair {
-            self.fill_limit = (self.fill_limit * 0.97).max(self.fill_floor);
+            self.fill_limit = (self.fill_limit * 0.97).max(FILL_FLOOR * self.link_part()).max(1.0);
         } else if self.fills_out > 0.7 * self.fill_limit {
             self.fill_limit += 0.1;
         }
@@ -390,7 +392,7 @@
         // dispatcher asks it for a few at a time only.
         let few = |n: &Node| f64::from(n.out) < ORIGIN_PART * self.fetch_share * self.fill_limit;
         let origin = self.origin().filter(|id| best.is_none() && self.nodes.get(id.0).is_some_and(few));
-        let origin = origin.filter(|id| self.open(now, *id, mean) && self.may_fetch(now, false));
+        let origin = origin.filter(|id| self.open(now, *id, mean) && self.may_fetch(now, dl.keep.fill_rank));
         best.map(|(_, _, id)| id).or(origin)
     }
 
@@ -398,19 +400,21 @@
     /// the link. While it is set aside parents give only what they hold, and what they lack is given up
     /// at once; then one fetch at a time tries it. Of a slow one, pushed by all to its stop, fewer and
     /// fewer fetches are asked as they come too late to be of use. Harms what it would have served late.
-    fn may_fetch(&mut self, now: Nanos, uncacheable: bool) -> bool {
+    fn may_fetch(&mut self, now: Nanos, rank: u8) -> bool {
         let Some(n) = self.origin().and_then(|id| self.nodes.get_mut(id.0)) else { return true };
         if n.aside_until > now || (n.on_trial && now.since(n.tried) < TRIAL_GAP) {
             return false;
         }
         n.tried = now;
-        uncacheable || self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share
+        // What MC3 ranks high is fetched first, so that hits come back; rank 4 stands for uncacheable.
+        let power = [2.0, 1.0, 0.5, 0.25, 0.0][usize::from(rank.min(4))];
+        self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share.powf(power)
     }
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
     fn runs_at(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
         let origin = self.origin()?;
-        if dl.may_have_run.is_some() || !self.may_fetch(now, true) {
+        if dl.may_have_run.is_some() || !self.may_fetch(now, 4) {
             return None;
         }
         if self.s.direct && dl.pulls.iter().all(|p| p.node != origin) {
@@ -581,9 +585,7 @@
             self.fetched(true);
         }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
-        if let Some(n) = self.nodes.get_mut(sent.node.0).filter(|_| answered) {
-            n.heard = now;
-        }
+        self.nodes.get_mut(sent.node.0).filter(|_| answered).into_iter().for_each(|n| n.heard = now);
         let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
         match (end.outcome, from_source) {
             (Fulfilled, _) => {
@@ -609,8 +611,7 @@
             // An origin that refuses some is overloaded: setting it aside would turn some service into none.
             (Failed | Refused, Some(source)) if Some(source) == origin => self.suspect(now, source, out),
             (Failed | Refused | NotHeld, Some(source)) => self.mark(now, source, false, false, out),
-            (Failed, None) => self.mark(now, sent.node, false, false, out),
-            (Broken, _) => self.mark(now, sent.node, false, false, out),
+            (Failed, None) | (Broken, _) => self.mark(now, sent.node, false, false, out),
             (Unreachable, _) => self.mark(now, sent.node, false, true, out),
             _ => {}
         }
@@ -673,8 +674,7 @@
             return out.follow();
         }
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
-        let sent = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied();
-        let Some(sent) = sent else { return };
+        let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
         let heard =
             |id: NodeId| self.nodes.get(id.0).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
         if heard(sent.node) {
