--- a/src/decide.rs
+++ b/src/decide.rs
@@ -368,7 +368,7 @@
         if took > fair {
             self.fill_limit = (self.fill_limit * 0.97).max(FILL_FLOOR * self.link_part()).max(1.0);
         } else if self.fills_out > 0.7 * self.fill_limit {
-            self.fill_limit += 0.25;
+            self.fill_limit += 0.05;
         }
     }
 
