--- a/src/decide.rs
+++ b/src/decide.rs
@@ -348,8 +348,7 @@
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
     fn fill_ended(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd) {
         self.fills_out -= 1.0;
-        // What hung at a silent source, or was found after all, tells nothing of the link.
-        if !matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
+        if end.outcome == Outcome::CalledOff {
             return;
         }
         let told = &self.row(&dl.d).told;
