--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,6 @@
 const ORIGIN_PART: f64 = 1.0; // of the fill limit, for fills that no parent stands before
 const FETCH_FLOOR: f64 = 0.2;
 const UNKEPT_PACE: f64 = 0.8; // of their leeway used by fills: what is not kept is let go first
-const FILL_EASE: f64 = 0.5; // fills that use less of their leeway leave much of the link free
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -369,7 +368,7 @@
         if took > fair {
             self.fill_limit = (self.fill_limit * 0.97).max(FILL_FLOOR * self.link_part()).max(1.0);
         } else if self.fills_out > 0.7 * self.fill_limit {
-            self.fill_limit += if took < FILL_EASE * fair { 0.3 } else { 0.05 };
+            self.fill_limit += 0.05;
         }
     }
 
