--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,6 @@
 // MC3's open choices, and the starting values of the design page.
 const TABLE: usize = 20_000; // shadow entries
 const HORIZON_S: f64 = 20.0; // keep horizon: storage cost is one over it
-const LARGE: f64 = 4.0; // times the mean of its type: storage cost grows with size from there
 const MIDDLE_CUT: f64 = 1.0; // of the storage cost
 const TOP_CUT: f64 = 4.0;
 const MIDDLE_SHARE: f64 = 0.3; // of recent kept fills, middle and top rank together
@@ -105,16 +104,16 @@
 
     /// A download has come: counted in the shadow table, judged by MC3, and sent on its way.
     pub fn download(&mut self, now: Nanos, d: &Download, out: &mut impl Outbox) {
-        let told = d.size_kb.filter(|_| self.s.client_kb_per_s > 0.0).map(|kb| kb / self.s.client_kb_per_s);
-        // Where sizes are not told, what its object took, or its content type takes, stands in.
-        let (mut keep, mut work_s) = (Keep::default(), told.unwrap_or(self.row(d).mean_work_s));
+        let (mut keep, mut seen) = (Keep::default(), None);
         if !self.row(d).told.uncacheable {
             let shadow = self.count(now, d, out);
-            work_s = told.or(shadow.work_s).unwrap_or(work_s);
-            keep = self.keep(now, &shadow, work_s / self.row(d).mean_work_s);
+            (keep, seen) = (self.keep(now, &shadow), shadow.work_s);
         } else if !self.order.holds(d.object.0) {
             out.release_object(d.object);
         }
+        let told = d.size_kb.filter(|_| self.s.client_kb_per_s > 0.0).map(|kb| kb / self.s.client_kb_per_s);
+        // Where sizes are not told, what its object took, or its content type takes, stands in.
+        let work_s = told.or(seen).unwrap_or(self.row(d).mean_work_s);
         let (stage, pulls, missed_at, may_have_run) = (Stage::Taken, Vec::new(), None, None);
         let dl = Dl { d: *d, stage, work_s, keep, pulls, missed_at, may_have_run };
         self.dls.put(d.dl.0, dl);
@@ -189,11 +188,10 @@
     }
 
     /// Benefit and rank: keep where hops x rate exceeds storage cost.
-    fn keep(&mut self, now: Nanos, shadow: &Shadow, size: f64) -> Keep {
+    fn keep(&mut self, now: Nanos, shadow: &Shadow) -> Keep {
         // A first request has negative benefit: its fill passes unkept, and a hit stays as it was.
         let Some(gap_s) = shadow.gap_s else { return Keep::default() };
-        // What takes the room of many others must earn as much as they would.
-        let storage_cost = (size / LARGE).max(1.0) / HORIZON_S;
+        let storage_cost = 1.0 / HORIZON_S;
         let rate = f64::from(self.s.zone_dispatchers.max(1)) / gap_s;
         let keep_benefit = shadow.hops * rate - storage_cost;
         let ratio = shadow.hops * rate / storage_cost;
