--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,7 @@
 const MIDDLE_CUT: f64 = 1.0; // of the storage cost
 const TOP_CUT: f64 = 4.0;
 const MIDDLE_SHARE: f64 = 0.3; // of recent kept fills, middle and top rank together
-const TOP_SHARE: f64 = 0.1;
+const TOP_SHARE: f64 = 0.13;
 const FILLS_SEEN: Nanos = Nanos(10_000_000_000);
 // Health.
 const BUCKETS: usize = 8;
