--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,6 @@
 const ORIGIN_PART: f64 = 1.0; // of the fill limit, for fills that no parent stands before
 const FETCH_FLOOR: f64 = 0.2;
 const UNKEPT_PACE: f64 = 0.8; // of their leeway used by fills: what is not kept is let go first
-const FILL_WORST: f64 = 3.0; // times what is fair, at most, for one fill
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.2;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -356,8 +355,7 @@
         let leeway = told.target_time.secs() + (told.target_stretch - 1.0).max(0.0) * dl.work_s;
         let took = end.took.since(end.waited.unwrap_or_default()).secs();
         let fair = dl.work_s + FILL_LEEWAY * leeway;
-        // One that hung for seconds is one slow fill, not ten.
-        self.fill_pace.add(now, 0, took.min(FILL_WORST * fair));
+        self.fill_pace.add(now, 0, took);
         self.fill_pace.add(now, 1, fair);
         self.fill_pace.add(now, 2, end.waited.unwrap_or_default().secs());
         // A parent may be quick to begin and slow to send: what its fills take over the leeway is charged
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -98,15 +98,14 @@
     NodeEntry { node: NodeId(id), hash, zone, kind, cell: 0, readiness, weight: 12.0, started }
 }
 
-/// A dispatcher that knows caches 0, 1, 2, parents 3, 4 and the origin 5, all warm.
-pub fn dispatcher(settings: Settings, trace: &mut Trace) -> Dispatcher {
-    let mut module = Dispatcher::new(settings);
-    module.start(ms(1), trace);
-    let kinds = [0, 0, 0, 1, 1, 2];
-    let list: Vec<_> =
-        (0..6).map(|id| entry(id, kinds[id as usize], Readiness::Ready, Nanos::ZERO)).collect();
-    module.nodes_listed(ms(1), &list, trace);
-    module
+/// A dispatcher that knows caches 0, 1, 2, parents 3, 4 and the origin 5, all warm; and its trace.
+pub fn start(settings: Settings) -> (Dispatcher, Trace) {
+    let (mut module, mut trace) = (Dispatcher::new(settings), Trace::default());
+    module.start(ms(1), &mut trace);
+    let nodes = [(0, 0), (1, 0), (2, 0), (3, 1), (4, 1), (5, 2)];
+    let list = nodes.map(|(id, kind)| entry(id, kind, Readiness::Ready, Nanos::ZERO));
+    module.nodes_listed(ms(1), &list, &mut trace);
+    (module, trace)
 }
 
 /// Download `dl` of content type `kind` for object `object`, which expires 3 s from now.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,41 +3,32 @@
 mod common;
 use common::*;
 use copperroute::interface::*;
-use expect_test::{Expect, expect};
+use expect_test::expect;
 
-/// Counts lines that hold each of `names`.
+/// Counts the lines that hold each of `names`.
 fn counts(trace: &Trace, names: &[&str]) -> String {
     let count = |name: &&str| format!("{name}: {}\n", trace.0.lines().filter(|l| l.contains(*name)).count());
     names.iter().map(count).collect()
 }
 
-fn check(trace: &Trace, names: &[&str], expected: Expect) {
-    expected.assert_eq(&counts(trace, names));
-}
-
 #[test]
 fn fills_past_what_the_link_carries_are_refused_at_once() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for object in 0..30 {
         ask(&mut module, ms(1_000), object, 0, object, &mut trace);
         module.pull_ended(ms(1_001), DlId(object), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
     }
-    check(
-        &trace,
-        &["from 3", "from 4", "throttled"],
-        expect![[r#"
-            from 3: 3
-            from 4: 6
-            throttled: 21
-        "#]],
-    );
+    expect![[r#"
+        from 3: 3
+        from 4: 6
+        throttled: 21
+    "#]]
+    .assert_eq(&counts(&trace, &["from 3", "from 4", "throttled"]));
 }
 
 #[test]
 fn a_silent_cache_is_set_aside_and_its_pulls_go_elsewhere() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for dl in 0..3 {
         ask(&mut module, ms(1_000), dl, 0, 9, &mut trace);
     }
@@ -64,8 +55,7 @@
 
 #[test]
 fn a_cache_that_fails_fast_is_set_aside_then_tried_with_one_pull() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for dl in 0..4 {
         ask(&mut module, ms(1_000), dl, 0, 9, &mut trace);
         module.pull_ended(ms(1_010), DlId(dl), 0, &end(Outcome::Failed, Remark::None), &mut trace);
@@ -94,8 +84,7 @@
 
 #[test]
 fn a_silent_origin_leaves_the_parents_copies_in_use() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for dl in 0..4 {
         ask(&mut module, ms(1_000), dl, 0, dl, &mut trace);
         module.pull_ended(ms(1_001), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
@@ -155,8 +144,7 @@
 
 #[test]
 fn a_parent_that_sends_slowly_is_left_for_the_other() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for dl in 0..6 {
         let now = ms(1_000 + 100 * u64::from(dl));
         ask(&mut module, now, dl, 0, 9, &mut trace);
@@ -167,14 +155,11 @@
         let ended = PullEnd { took, waited, ..end(Outcome::Fulfilled, Remark::FilledFromCopy) };
         module.pull_ended(now.after(ms(90)), DlId(dl), 1, &ended, &mut trace);
     }
-    check(
-        &trace,
-        &["from 3", "from 4"],
-        expect![[r#"
-            from 3: 1
-            from 4: 5
-        "#]],
-    );
+    expect![[r#"
+        from 3: 1
+        from 4: 5
+    "#]]
+    .assert_eq(&counts(&trace, &["from 3", "from 4"]));
 }
 
 #[test]
@@ -184,8 +169,7 @@
         let mut s = settings();
         s.content_types[0].target_stretch = 1.2;
         s.client_kb_per_s = pace;
-        let mut trace = Trace::default();
-        let mut module = dispatcher(s, &mut trace);
+        let (mut module, mut trace) = start(s);
         (0..60).for_each(|dl| ask(&mut module, ms(1_000), dl, 0, 9, &mut trace));
         trace.0.matches("throttled").count()
     });
@@ -197,14 +181,13 @@
 
 #[test]
 fn with_no_cache_open_a_parent_is_asked_straight() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     let gone = [0, 1, 2].map(|id| entry(id, 0, Readiness::Gone, Nanos::ZERO));
     module.nodes_changed(ms(900), &gone, &mut trace);
     ask(&mut module, ms(1_000), 0, 0, 9, &mut trace);
     let mut s = settings();
     s.direct = false;
-    let mut module = dispatcher(s, &mut trace);
+    let (mut module, _) = start(s);
     module.nodes_changed(ms(900), &gone, &mut trace);
     ask(&mut module, ms(1_000), 1, 0, 9, &mut trace);
     expect![[r#"
@@ -213,3 +196,38 @@
     "#]]
     .assert_eq(&trace.0);
 }
+
+#[test]
+fn where_all_caches_fail_at_times_at_most_half_go_aside() {
+    let (mut module, mut trace) = start(settings());
+    for dl in 0..60 {
+        let now = ms(1_000 + 20 * u64::from(dl));
+        ask(&mut module, now, dl, 0, dl, &mut trace);
+        let ok = dl % 5 < 2;
+        let (outcome, remark) =
+            if ok { (Outcome::Fulfilled, Remark::Hit) } else { (Outcome::Broken, Remark::None) };
+        module.pull_ended(now, DlId(dl), 0, &end(outcome, remark), &mut trace);
+    }
+    expect![[r#"
+        set aside: 1
+        throttled: 0
+    "#]]
+    .assert_eq(&counts(&trace, &["set aside", "throttled"]));
+}
+
+#[test]
+fn with_no_parent_open_the_origin_is_asked_for_a_few() {
+    let (mut module, mut trace) = start(settings());
+    let gone = [3, 4].map(|id| entry(id, 1, Readiness::Gone, Nanos::ZERO));
+    module.nodes_changed(ms(900), &gone, &mut trace);
+    for dl in 0..30 {
+        ask(&mut module, ms(1_000), dl, 0, dl, &mut trace);
+        module.pull_ended(ms(1_001), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+        module.pull_ended(ms(1_002), DlId(dl), 1, &end(Outcome::Refused, Remark::SourceRefused), &mut trace);
+    }
+    expect![[r#"
+        from 5: 8
+        throttled: 22
+    "#]]
+    .assert_eq(&counts(&trace, &["from 5", "throttled"]));
+}
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -7,8 +7,7 @@
 
 /// Asks for object 9 after each of `gaps`; a look misses and the fill is answered with `remark`.
 fn missed(gaps: &[u64], remark: Remark) -> String {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     let mut now = ms(1_000);
     for (dl, gap) in gaps.iter().enumerate() {
         now = now.after(ms(*gap));
@@ -46,8 +45,7 @@
 
 #[test]
 fn a_hit_on_what_is_not_worth_keeping_gets_the_lowest_rank() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for (dl, at) in [(0, 1_000), (1, 3_000), (2, 300_000)] {
         ask(&mut module, ms(at), dl, 1, 9, &mut trace);
         module.pull_ended(ms(at + 50), DlId(dl), 0, &end(Outcome::Fulfilled, Remark::Hit), &mut trace);
@@ -62,8 +60,7 @@
 
 #[test]
 fn a_small_share_of_fills_gets_the_upper_ranks_and_the_top_skips_the_parent() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     let mut now = ms(1_000);
     // Twenty objects asked for twice, 9 s apart; then one asked for ten times a second.
     let asked = (0..40).map(|n| (n % 20, 450)).chain((0..6).map(|_| (50, 100)));
@@ -87,8 +84,7 @@
 
 #[test]
 fn uncacheable_downloads_pass_straight_to_the_origin() {
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for (dl, at) in [(0, 1_000), (1, 1_500)] {
         ask(&mut module, ms(at), dl, 2, 9, &mut trace);
         module.pull_ended(ms(at + 50), DlId(dl), 0, &end(Outcome::Fulfilled, Remark::None), &mut trace);
@@ -103,8 +99,7 @@
 #[test]
 fn a_clients_repeat_is_no_request_more() {
     // Found on scans: repeats of refused downloads had one-off objects kept, at the upper ranks even.
-    let mut trace = Trace::default();
-    let mut module = dispatcher(settings(), &mut trace);
+    let (mut module, mut trace) = start(settings());
     for (dl, at, repeat) in [(0, 1_000, false), (1, 1_200, true), (2, 9_000, false)] {
         ask_as(&mut module, ms(at), dl, 0, 9, repeat, &mut trace);
         module.pull_ended(ms(at), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,17 +2,9 @@
 
 mod common;
 use common::*;
-use copperroute::decide::Dispatcher;
 use copperroute::interface::*;
 use expect_test::expect;
 
-/// A dispatcher in the usual location, told `settings`.
-fn start(settings: Settings) -> (Dispatcher, Trace) {
-    let mut trace = Trace::default();
-    let module = dispatcher(settings, &mut trace);
-    (module, trace)
-}
-
 #[test]
 fn one_final_answer_whatever_comes_after() {
     let (mut module, mut trace) = start(settings());
