Let the origin stand in for a parent that is not open

Change: with fewer than two parents open the origin is the second to choose from, by first byte and charge, a few at a time. Told from a slow origin: fills from copies were as slow as those by way of the origin.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -372,8 +372,7 @@
         }
     }
 
-    /// The better of the first two open parents in hash order, by smoothed time to first byte; with none
-    /// open the origin.
+    /// The better of the first two open parents in hash order, by smoothed time to first byte.
     fn source(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
         if !self.link_has_room(now, dl) {
             return None;
@@ -386,14 +385,16 @@
         let failed = |id: NodeId| dl.pulls.iter().any(|p| !p.is_look() && p.source == id);
         let charged = |n: &Node| n.first_byte_s.unwrap_or(0.0) + n.charged_s(now, CHARGE_FADES);
         let first_byte = |id: NodeId| self.nodes.get(id.0).map_or(0.0, charged);
-        let two = parents.iter().take(2).map(|(_, id)| (failed(*id), first_byte(*id), *id));
-        let best = two.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        // With no parent open all locations turn to the origin at once, uncached and unjoined: each
-        // dispatcher asks it for a few at a time only.
+        // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
+        // and unjoined, each dispatcher asks it for a few at a time only.
         let few = |n: &Node| f64::from(n.out) < ORIGIN_PART * self.fetch_share * self.fill_limit;
-        let origin = self.origin().filter(|id| best.is_none() && self.nodes.get(id.0).is_some_and(few));
-        let origin = origin.filter(|id| self.open(now, *id, mean) && self.may_fetch(now, dl.keep.fill_rank));
-        best.map(|(_, _, id)| id).or(origin)
+        let origin = self.origin().filter(|id| parents.len() < 2 && self.nodes.get(id.0).is_some_and(few));
+        let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
+        let two: Vec<_> = two.map(|id| (failed(id), first_byte(id), id)).collect();
+        let best = two.into_iter().min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?.2;
+        let spared =
+            Some(best) == origin && !(self.open(now, best, mean) && self.may_fetch(now, dl.keep.fill_rank));
+        if spared { parents.first().map(|(_, id)| *id) } else { Some(best) }
     }
 
     /// A stopped origin holds every fill that needs it until time runs out, and with them the places on
