--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,7 +52,7 @@
     let row = |repeat, fresh: Option<u64>, uncacheable| ContentType {
         target_time: ms(400),
         target_stretch: 2.0,
-        repeat,
+        repeat: kind >= 10,
         fresh_for: fresh.map(ms),
         uncacheable,
     };
@@ -108,31 +108,19 @@
     (module, trace)
 }
 
-/// Download `dl` of content type `kind` for object `object`, which expires 3 s from now.
+/// Download `dl` of content type `kind` for object `object`, which expires 3 s from now; 10 more on
+/// `kind` for a client's repeat.
 pub fn ask(module: &mut Dispatcher, now: Nanos, dl: u32, kind: u32, object: u32, trace: &mut Trace) {
-    ask_as(module, now, dl, kind, object, false, trace);
-}
-
-/// The same, marked as a client's repeat or not.
-pub fn ask_as(
-    module: &mut Dispatcher,
-    now: Nanos,
-    dl: u32,
-    kind: u32,
-    object: u32,
-    repeat: bool,
-    trace: &mut Trace,
-) {
     let hash = stable_hash(format!("object-{object}").as_bytes());
     let d = Download {
         dl: DlId(dl),
-        content_type: TypeId(kind),
+        content_type: TypeId(kind % 10),
         object: ObjectId(object),
         copy_hash: hash,
         object_hash: hash,
         group: Some(u64::from(object % 4)),
         expires: now.after(ms(3_000)),
-        repeat,
+        repeat: kind >= 10,
         size_kb: Some(1_000.0),
     };
     module.download(now, &d, trace);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -142,24 +142,33 @@
     .assert_eq(&trace.0[from..]);
 }
 
-#[test]
-fn a_parent_that_sends_slowly_is_left_for_the_other() {
+/// Where 12 fills go when parent 3 begins quickly and sends slowly, with the other parent in a state.
+fn with_a_slow_parent(other: Readiness) -> String {
     let (mut module, mut trace) = start(settings());
-    for dl in 0..6 {
+    module.nodes_changed(ms(900), &[entry(4, 1, other, Nanos::ZERO)], &mut trace);
+    for dl in 0..12 {
         let now = ms(1_000 + 100 * u64::from(dl));
         ask(&mut module, now, dl, 0, 9, &mut trace);
         module.pull_ended(now, DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
         let slow = trace.0.lines().last().is_some_and(|line| line.contains("from 3"));
-        let took = if slow { ms(900) } else { ms(130) };
-        let waited = Some(if slow { ms(10) } else { ms(30) });
+        let (took, waited) = if slow { (ms(900), Some(ms(10))) } else { (ms(130), Some(ms(30))) };
         let ended = PullEnd { took, waited, ..end(Outcome::Fulfilled, Remark::FilledFromCopy) };
         module.pull_ended(now.after(ms(90)), DlId(dl), 1, &ended, &mut trace);
     }
+    counts(&trace, &["from 3", "from 4", "from 5"])
+}
+
+#[test]
+fn a_parent_that_sends_slowly_is_left_for_the_other_or_the_origin() {
     expect![[r#"
         from 3: 1
-        from 4: 5
+        from 4: 11
+        from 5: 0
+        from 3: 1
+        from 4: 0
+        from 5: 11
     "#]]
-    .assert_eq(&counts(&trace, &["from 3", "from 4"]));
+    .assert_eq(&[Readiness::Ready, Readiness::Gone].map(with_a_slow_parent).concat());
 }
 
 #[test]
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -100,8 +100,8 @@
 fn a_clients_repeat_is_no_request_more() {
     // Found on scans: repeats of refused downloads had one-off objects kept, at the upper ranks even.
     let (mut module, mut trace) = start(settings());
-    for (dl, at, repeat) in [(0, 1_000, false), (1, 1_200, true), (2, 9_000, false)] {
-        ask_as(&mut module, ms(at), dl, 0, 9, repeat, &mut trace);
+    for (dl, at, kind) in [(0, 1_000, 0), (1, 1_200, 10), (2, 9_000, 0)] {
+        ask(&mut module, ms(at), dl, kind, 9, &mut trace);
         module.pull_ended(ms(at), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
     }
     expect![[r#"
