--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,7 +52,7 @@
     let row = |repeat, fresh: Option<u64>, uncacheable| ContentType {
         target_time: ms(400),
         target_stretch: 2.0,
-        repeat: kind >= 10,
+        repeat,
         fresh_for: fresh.map(ms),
         uncacheable,
     };
