--- a/src/decide.rs
+++ b/src/decide.rs
@@ -168,14 +168,14 @@
 
     // MC3.
 
-    /// Counts a request in the shadow table and returns the entry.
+    /// Counts a download in the shadow table and returns the entry.
     fn count(&mut self, now: Nanos, d: &Download, out: &mut impl Outbox) -> Shadow {
         let mut entry = Shadow { copy_hash: d.copy_hash, last: now, hops: 2.0, ..Shadow::default() };
         if let Some(known) = self.shadows.get(d.object.0).filter(|_| self.order.holds(d.object.0)) {
             let gap = now.since(known.last).secs().max(1e-3);
-            // After twice the estimate without requests, the estimate is the gap so far.
+            // After twice the estimate without downloads, the estimate is the gap so far.
             let old = known.gap_s.map_or(gap, |old| if gap > 2.0 * old { gap } else { old });
-            // A client's repeat is no request more: else a jam would have all that it refuses kept, scans
+            // A client's repeat is no download more: else a jam would have all that it refuses kept, scans
             // too, and feed itself.
             let counted = Shadow { gap_s: Some(0.5 * gap + 0.5 * old), last: now, ..*known };
             entry = if d.repeat { *known } else { counted };
@@ -189,7 +189,7 @@
 
     /// Benefit and rank: keep where hops x rate exceeds storage cost.
     fn keep(&mut self, now: Nanos, shadow: &Shadow) -> Keep {
-        // A first request has negative benefit: its fill passes unkept, and a hit stays as it was.
+        // A first download has negative benefit: its fill passes unkept, and a hit stays as it was.
         let Some(gap_s) = shadow.gap_s else { return Keep::default() };
         let storage_cost = 1.0 / HORIZON_S;
         let rate = f64::from(self.s.zone_dispatchers.max(1)) / gap_s;
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,7 +129,7 @@
     pub copy_hash: u64,
     /// When it was last asked for.
     pub last: Nanos,
-    /// The estimate of the gap between requests.
+    /// The estimate of the gap between downloads.
     pub gap_s: Option<f64>,
     /// Hops to the closest held copy at the last fill.
     pub hops: f64,
