--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,7 +55,7 @@
 pub struct Dispatcher {
     s: Settings,
     types: Vec<TypeRow>,
-    nodes: Slots<Node>,
+    nodes: Nodes,
     dls: Slots<Dl>,
     shadows: Slots<Shadow>,
     order: Recent,
@@ -77,7 +77,7 @@
         let row = |told: &ContentType| TypeRow { told: told.clone(), mean_work_s: DEFAULT_WORK_S };
         Dispatcher {
             types: s.content_types.iter().map(row).collect(),
-            nodes: Slots::default(),
+            nodes: Nodes::new(s.zone, s.parent_kind, s.origin_kind),
             dls: Slots::default(),
             shadows: Slots::default(),
             order: Recent::default(),
@@ -139,7 +139,7 @@
         self.serial = self.serial.wrapping_add(1);
         let sent = Sent { node, source, at: now, serial: self.serial, out: true };
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
-        let rank = if self.is_parent(node) { 0 } else { asked_of };
+        let rank = if self.nodes.is_parent(node) { 0 } else { asked_of };
         let pull = Pull {
             node,
             source,
@@ -147,14 +147,18 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
-            held_only: !sent.is_look() && self.is_parent(source) && !self.may_fetch(now, dl.keep.fill_rank),
-            no_parent_copy: rank == 3 && self.is_parent(source) && !sent.is_look(),
+            held_only: !sent.is_look()
+                && self.nodes.is_parent(source)
+                && !self.may_fetch(now, dl.keep.fill_rank),
+            no_parent_copy: rank == 3 && self.nodes.is_parent(source) && !sent.is_look(),
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
         let mean = self.row(&dl.d).mean_work_s;
-        for n in self.asked(&sent) {
-            n.spent.add(now, 0, mean);
-            n.out += 1;
+        for id in sent.asked() {
+            if let Some(n) = self.nodes.get_mut(id) {
+                n.spent.add(now, 0, mean);
+                n.out += 1;
+            }
         }
         self.fills_out += if sent.is_look() { 0.0 } else { 1.0 };
         self.move_to(id, Stage::Pulling, out);
@@ -220,7 +224,7 @@
         if dl.keep.fill_rank > 0 && matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
             self.fills.add(now, power(dl.keep.ratio), 1.0);
         }
-        let from_origin = Some(sent.source) == self.origin() && !self.s.fills_told;
+        let from_origin = Some(sent.source) == self.nodes.origin() && !self.s.fills_told;
         let entry = self.shadows.get_mut(dl.d.object.0);
         // The slot may have been given to another object meanwhile.
         let Some(entry) = entry.filter(|entry| entry.copy_hash == dl.d.copy_hash) else { return };
@@ -244,31 +248,16 @@
         told.target_time.secs() + told.target_stretch * dl.work_s
     }
 
-    /// The nodes that a pull may put work on.
-    fn asked(&mut self, sent: &Sent) -> impl Iterator<Item = &mut Node> {
-        let (node, source) = (sent.node, sent.source);
-        self.nodes.iter_mut().filter(move |n| n.e.node == node || n.e.node == source)
-    }
-
-    fn is_parent(&self, id: NodeId) -> bool {
-        self.nodes.get(id.0).is_some_and(|n| Some(n.e.kind) == self.s.parent_kind)
-    }
-
-    fn origin(&self) -> Option<NodeId> {
-        let origin = |n: &&Node| n.listed && Some(n.e.kind) == self.s.origin_kind;
-        self.nodes.iter().find(origin).map(|n| n.e.node)
-    }
-
     /// May this node be sent something now? Listed, not set aside, and with room if it is cold.
     fn open(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
         let s = &self.s;
         let window = s.fall_for;
-        let (share, cold_for, multiple, sharers) = if self.is_parent(id) {
+        let (share, cold_for, multiple, sharers) = if self.nodes.is_parent(id) {
             (s.parent_cold_share, s.parent_cold_for, s.parent_fall_multiple, s.dispatchers)
         } else {
             (s.cold_share, s.cold_for, s.fall_multiple, s.zone_dispatchers)
         };
-        let Some(n) = self.nodes.get_mut(id.0) else { return false };
+        let Some(n) = self.nodes.get_mut(id) else { return false };
         let age = now.since(n.started);
         let ready = n.listed && n.aside_until <= now && !(n.on_trial && n.out > 0);
         if !ready || n.started == Nanos::ZERO || age >= cold_for {
@@ -282,29 +271,28 @@
     }
 
     fn is_cold(&self, now: Nanos, id: NodeId) -> bool {
-        let n = self.nodes.get(id.0);
+        let n = self.nodes.get(id);
         n.is_some_and(|n| n.started != Nanos::ZERO && now.since(n.started) < self.s.cold_for)
     }
 
     /// With no cache of the location open, say because most have just restarted, the download goes
     /// straight to a parent over the location's link, where that is allowed and the link has room.
     fn past_the_caches(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
-        let origin = self.origin().filter(|_| self.s.direct && dl.may_have_run.is_none())?;
+        let origin = self.nodes.origin().filter(|_| self.s.direct && dl.may_have_run.is_none())?;
         let parent = self.source(now, dl).filter(|id| *id != origin)?;
         self.may_fetch(now, dl.keep.fill_rank).then_some((parent, origin))
     }
 
     fn load(&self, id: NodeId) -> f64 {
         let load = |n: &Node| f64::from(n.out * self.s.zone_dispatchers.max(1)) / n.e.weight.max(0.1);
-        self.nodes.get(id.0).map_or(0.0, load)
+        self.nodes.get(id).map_or(0.0, load)
     }
 
     /// The object's hash picks the edge cache (highest random weight, by size); the next in hash order
     /// takes over where it is not open, full, or was tried.
     fn edge(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
-        let upper = [self.s.parent_kind, self.s.origin_kind];
         let mut caches: Vec<(f64, NodeId)> = Vec::new();
-        for n in self.nodes.iter().filter(|n| n.e.zone == self.s.zone && !upper.contains(&Some(n.e.kind))) {
+        for n in self.nodes.caches() {
             let share = (mix(dl.d.copy_hash ^ n.e.hash) >> 11) as f64 / (1_u64 << 53) as f64;
             caches.push((-(share.max(1e-18)).ln() / n.e.weight.max(0.01), n.e.node));
         }
@@ -339,9 +327,9 @@
 
     /// This dispatcher's part of the link, in transfers; where not told, judged from the caches' own links.
     fn link_part(&self) -> f64 {
-        let caches = self.nodes.iter().filter(|n| n.e.zone == self.s.zone);
         let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
-        let size = if told > 0.0 { told / pace } else { 0.5 * caches.map(|n| n.e.weight).sum::<f64>() };
+        let size =
+            if told > 0.0 { told / pace } else { 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>() };
         size / f64::from(self.s.zone_dispatchers.max(1))
     }
 
@@ -360,7 +348,7 @@
         self.fill_pace.add(now, 2, end.waited.unwrap_or_default().secs());
         // A parent may be quick to begin and slow to send: what its fills take over the leeway is charged
         // to its first byte, and fades while it is not asked. Nothing is charged on the ordinary path.
-        if let Some(n) = self.nodes.get_mut(sent.source.0) {
+        if let Some(n) = self.nodes.get_mut(sent.source) {
             let old = n.charged_s(now, CHARGE_FADES);
             n.charge = (old + SMOOTH * ((took - fair).max(0.0) - old), now);
         }
@@ -377,18 +365,19 @@
         if !self.link_has_room(now, dl) {
             return None;
         }
-        let parents = self.nodes.iter().filter(|n| Some(n.e.kind) == self.s.parent_kind);
-        let mut parents: Vec<_> = parents.map(|n| (mix(dl.d.copy_hash ^ n.e.hash), n.e.node)).collect();
+        let mut parents: Vec<_> =
+            self.nodes.parents().map(|n| (mix(dl.d.copy_hash ^ n.e.hash), n.e.node)).collect();
         parents.sort();
         let mean = self.row(&dl.d).mean_work_s;
         parents.retain(|(_, id)| self.open(now, *id, mean));
         let failed = |id: NodeId| dl.pulls.iter().any(|p| !p.is_look() && p.source == id);
         let charged = |n: &Node| n.first_byte_s.unwrap_or(0.0) + n.charged_s(now, CHARGE_FADES);
-        let first_byte = |id: NodeId| self.nodes.get(id.0).map_or(0.0, charged);
+        let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, charged);
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
         let few = |n: &Node| f64::from(n.out) < ORIGIN_PART * self.fetch_share * self.fill_limit;
-        let origin = self.origin().filter(|id| parents.len() < 2 && self.nodes.get(id.0).is_some_and(few));
+        let origin =
+            self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
         let two: Vec<_> = two.map(|id| (failed(id), first_byte(id), id)).collect();
         let best = two.into_iter().min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?.2;
@@ -402,7 +391,7 @@
     /// at once; then one fetch at a time tries it. Of a slow one, pushed by all to its stop, fewer and
     /// fewer fetches are asked as they come too late to be of use. Harms what it would have served late.
     fn may_fetch(&mut self, now: Nanos, rank: u8) -> bool {
-        let Some(n) = self.origin().and_then(|id| self.nodes.get_mut(id.0)) else { return true };
+        let Some(n) = self.nodes.origin().and_then(|id| self.nodes.get_mut(id)) else { return true };
         if n.aside_until > now || (n.on_trial && now.since(n.tried) < TRIAL_GAP) {
             return false;
         }
@@ -414,7 +403,7 @@
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
     fn runs_at(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
-        let origin = self.origin()?;
+        let origin = self.nodes.origin()?;
         if dl.may_have_run.is_some() || !self.may_fetch(now, 4) {
             return None;
         }
@@ -428,7 +417,7 @@
     /// Rule 2 for a further pull: what may have run goes again only where repeats are harmless.
     fn may_repeat_at(&self, now: Nanos, dl: &Dl, id: NodeId) -> bool {
         let Some((sent, first)) = dl.may_have_run else { return true };
-        let (Some(a), Some(b)) = (self.nodes.get(first.0), self.nodes.get(id.0)) else { return false };
+        let (Some(a), Some(b)) = (self.nodes.get(first), self.nodes.get(id)) else { return false };
         match self.row(&dl.d).told.repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
@@ -457,7 +446,7 @@
     /// A stream has begun: the download is bound to this pull.
     pub fn first_byte(&mut self, now: Nanos, id: DlId, number: u32, out: &mut impl Outbox) {
         let node = self.dls.get(id.0).and_then(|dl| dl.pulls.get(number as usize)).map(|p| p.node);
-        if let Some(n) = node.and_then(|node| self.nodes.get_mut(node.0)) {
+        if let Some(n) = node.and_then(|node| self.nodes.get_mut(node)) {
             n.heard = now;
         }
         self.move_to(id, Stage::Streaming, out);
@@ -575,8 +564,10 @@
     /// Judges node and source by how a pull ended.
     fn judge(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd, out: &mut impl Outbox) {
         use Outcome::*;
-        self.asked(sent).for_each(|n| n.out = n.out.saturating_sub(1));
-        let origin = self.origin();
+        for id in sent.asked() {
+            self.nodes.get_mut(id).into_iter().for_each(|n| n.out = n.out.saturating_sub(1));
+        }
+        let origin = self.nodes.origin();
         let from_source = match end.remark {
             Remark::SourceRefused | Remark::SourceLost => Some(sent.source),
             Remark::OriginFailed => origin,
@@ -586,7 +577,7 @@
             self.fetched(true);
         }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
-        self.nodes.get_mut(sent.node.0).filter(|_| answered).into_iter().for_each(|n| n.heard = now);
+        self.nodes.get_mut(sent.node).filter(|_| answered).into_iter().for_each(|n| n.heard = now);
         let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
         match (end.outcome, from_source) {
             (Fulfilled, _) => {
@@ -600,9 +591,9 @@
                             waited_s > (FETCH_LATE * self.target_s(dl)).max(FETCH_SLOW * self.fetch_usual_s);
                         self.fetch_usual_s += 0.01 * (waited_s - self.fetch_usual_s).min(self.fetch_usual_s);
                         self.fetched(late);
-                        self.nodes.get_mut(origin.0).into_iter().for_each(|n| n.heard = now);
+                        self.nodes.get_mut(origin).into_iter().for_each(|n| n.heard = now);
                     }
-                    if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source.0)) {
+                    if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source)) {
                         n.heard = now;
                         let old = n.first_byte_s.unwrap_or(waited.secs());
                         n.first_byte_s = Some(old + SMOOTH * (waited.secs() - old));
@@ -626,29 +617,30 @@
 
     /// Counts against a node only if nothing from it worked lately: slow is not silent.
     fn suspect(&mut self, now: Nanos, id: NodeId, out: &mut impl Outbox) {
-        if self.nodes.get_mut(id.0).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
+        if self.nodes.get_mut(id).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
             self.mark(now, id, false, false, out);
         }
     }
 
     /// Counts for or against a node; sets it aside when recent pulls failed too often, whatever the cause.
     fn mark(&mut self, now: Nanos, id: NodeId, worked: bool, died: bool, out: &mut impl Outbox) {
-        let Some(n) = self.nodes.get_mut(id.0) else { return };
+        let Some(n) = self.nodes.get_mut(id) else { return };
         n.ended.add(now, usize::from(!worked), 1.0);
         let [ok, failed] = n.ended.sums(now);
         n.in_row = if worked { 0 } else { n.in_row + 1 };
-        let (kind, dead) = (n.e.kind, n.in_row >= DEAD_ROW);
+        let dead = n.in_row >= DEAD_ROW;
         if worked {
             n.on_trial = false;
         } else if n.on_trial || (failed >= FAILURES && failed > FAILED_SHARE * (ok + failed)) {
             // Of those that still answer at most half go at a time: where more fail, the others would only
             // be overrun, and a further pull serves better. Harms where all but a few are really broken.
-            let upper = [self.s.parent_kind, self.s.origin_kind].contains(&Some(kind));
-            let peer = |n: &&Node| n.listed && if upper { n.e.kind == kind } else { n.e.zone == self.s.zone };
-            let (aside, all) = self.nodes.iter().filter(peer).fold((1, 0), |(aside, all), n| {
-                (aside + u32::from(n.aside_until > now && n.e.node != id), all + 1)
-            });
-            if died || dead || 2 * aside <= all {
+            let aside = |n: &Node| n.aside_until > now && n.e.node != id;
+            let peers: Vec<bool> = match self.nodes.is_parent(id) {
+                true => self.nodes.parents().map(aside).collect(),
+                false => self.nodes.caches().map(aside).collect(),
+            };
+            let aside = 1 + peers.iter().filter(|aside| **aside).count();
+            if died || dead || (2 * aside <= peers.len() && !self.nodes.is_origin(id)) {
                 self.set_aside(now, id, died, out);
             }
         }
@@ -658,7 +650,7 @@
     /// that may have died comes back cold, told or not, and is treated so.
     fn set_aside(&mut self, now: Nanos, id: NodeId, died: bool, out: &mut impl Outbox) {
         let aside = ASIDE.after(Nanos::from_secs(ASIDE_SPREAD_S * self.chance.share()));
-        let Some(n) = self.nodes.get_mut(id.0).filter(|n| n.aside_until <= now) else { return };
+        let Some(n) = self.nodes.get_mut(id).filter(|n| n.aside_until <= now) else { return };
         n.aside_until = now.after(aside);
         n.on_trial = true;
         n.ended.clear();
@@ -676,11 +668,11 @@
         }
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
         let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
-        let heard =
-            |id: NodeId| self.nodes.get(id.0).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
+        let heard = |id: NodeId| self.nodes.get(id).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
         if heard(sent.node) {
             // The node answers, so what is overdue hangs further up: at the source, or at the origin.
-            let silent = [Some(sent.source), self.origin()].into_iter().flatten().find(|id| !heard(*id));
+            let silent =
+                [Some(sent.source), self.nodes.origin()].into_iter().flatten().find(|id| !heard(*id));
             let Some(id) = silent.filter(|_| !sent.is_look()) else { return };
             return self.suspect(now, id, out);
         }
@@ -696,18 +688,19 @@
 
     /// The whole list: what is not in it is gone.
     pub fn nodes_listed(&mut self, now: Nanos, entries: &[NodeEntry], out: &mut impl Outbox) {
-        self.nodes.iter_mut().for_each(|n| n.listed = false);
+        self.nodes.unlist_all();
         self.nodes_changed(now, entries, out);
     }
 
     /// Changed entries. A node that drains or is gone leaves every choice at once (rule 3).
     pub fn nodes_changed(&mut self, _now: Nanos, entries: &[NodeEntry], _out: &mut impl Outbox) {
         for e in entries {
-            match self.nodes.get_mut(e.node.0) {
+            match self.nodes.get_mut(e.node) {
                 Some(n) => n.relist(e),
-                None => self.nodes.put(e.node.0, Node::new(*e, JUDGED_OVER, self.s.fall_for, BUCKETS)),
+                None => self.nodes.put(Node::new(*e, JUDGED_OVER, self.s.fall_for, BUCKETS)),
             }
         }
+        self.nodes.sort();
     }
 
     /// A call to discovery failed: the old list stands, and the subscription is asked for again.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher keeps of its downloads, objects and nodes. State only: nothing here decides.
 
-use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, Readiness};
+use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, Readiness, ZoneId};
 use crate::ring::Ring;
 
 /// Values at small indices.
@@ -90,6 +90,12 @@
     pub fn is_look(&self) -> bool {
         self.node == self.source
     }
+
+    /// The nodes that it puts work on.
+    pub fn asked(&self) -> impl Iterator<Item = NodeId> + use<> {
+        let source = (!self.is_look()).then_some(self.source);
+        std::iter::once(self.node).chain(source)
+    }
 }
 
 /// What MC3 says of a copy.
@@ -213,3 +219,78 @@
         self.e = *e;
     }
 }
+
+/// The nodes ever listed, with those that matter to a dispatcher at hand, whatever the size of the fleet.
+#[derive(Debug)]
+pub struct Nodes {
+    slots: Slots<Node>,
+    zone: ZoneId,
+    parent_kind: Option<u32>,
+    origin_kind: Option<u32>,
+    caches: Vec<NodeId>,
+    parents: Vec<NodeId>,
+    origin: Option<NodeId>,
+}
+
+impl Nodes {
+    /// No nodes yet, for a dispatcher of `zone`.
+    pub fn new(zone: ZoneId, parent_kind: Option<u32>, origin_kind: Option<u32>) -> Self {
+        let (caches, parents) = (Vec::new(), Vec::new());
+        Nodes { slots: Slots::default(), zone, parent_kind, origin_kind, caches, parents, origin: None }
+    }
+
+    /// A node ever listed.
+    pub fn get(&self, id: NodeId) -> Option<&Node> {
+        self.slots.get(id.0)
+    }
+
+    /// A node ever listed.
+    pub fn get_mut(&mut self, id: NodeId) -> Option<&mut Node> {
+        self.slots.get_mut(id.0)
+    }
+
+    /// Adds a node.
+    pub fn put(&mut self, node: Node) {
+        self.slots.put(node.e.node.0, node);
+    }
+
+    /// Takes every node off the list.
+    pub fn unlist_all(&mut self) {
+        self.slots.iter_mut().for_each(|n| n.listed = false);
+    }
+
+    /// Sorts the listed nodes anew; to be called when the list has changed.
+    pub fn sort(&mut self) {
+        let kind = |kind: Option<u32>| move |n: &&Node| n.listed && kind == Some(n.e.kind);
+        let (parent, origin, zone) = (kind(self.parent_kind), kind(self.origin_kind), self.zone);
+        let cache = |n: &&Node| n.listed && n.e.zone == zone && !parent(n) && !origin(n);
+        self.caches = self.slots.iter().filter(cache).map(|n| n.e.node).collect();
+        self.parents = self.slots.iter().filter(parent).map(|n| n.e.node).collect();
+        self.origin = self.slots.iter().find(origin).map(|n| n.e.node);
+    }
+
+    /// The listed caches of the own location.
+    pub fn caches(&self) -> impl Iterator<Item = &Node> {
+        self.caches.iter().filter_map(|id| self.slots.get(id.0))
+    }
+
+    /// The listed parents.
+    pub fn parents(&self) -> impl Iterator<Item = &Node> {
+        self.parents.iter().filter_map(|id| self.slots.get(id.0))
+    }
+
+    /// The origin, if it is listed.
+    pub fn origin(&self) -> Option<NodeId> {
+        self.origin
+    }
+
+    /// Whether this is a parent.
+    pub fn is_parent(&self, id: NodeId) -> bool {
+        self.get(id).is_some_and(|n| Some(n.e.kind) == self.parent_kind)
+    }
+
+    /// Whether this is the origin.
+    pub fn is_origin(&self, id: NodeId) -> bool {
+        self.get(id).is_some_and(|n| Some(n.e.kind) == self.origin_kind)
+    }
+}
