--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -1,6 +1,6 @@
 //! The wire's start-up settings in the words of the interface.
 
-use copperroute::interface::{ContentType, DedupScope, Nanos, Repeat, Settings, ZoneId};
+use copperroute::interface::{ColdStart, ContentType, DedupScope, Nanos, Repeat, Settings, ZoneId};
 use std::collections::HashMap;
 use std::str::FromStr;
 
@@ -110,13 +110,17 @@
             link_kb_per_s: self.listed_number("family_info.pipe_kb_per_s", zone as usize, 0.0)?,
             purge_done: self.span_or_zero("family_info.purge_done_s")?,
             purge_notice: self.span_or_zero("family_info.notice_time_s")?,
-            cold_share: self.number("rules.cold_share")?,
-            cold_for: self.span("rules.cold_s")?,
-            fall_multiple: self.number("rules.fall_multiple")?,
+            cache_cold: ColdStart {
+                share: self.number("rules.cold_share")?,
+                warm_after: self.span("rules.cold_s")?,
+                fall_multiple: self.number("rules.fall_multiple")?,
+            },
+            parent_cold: ColdStart {
+                share: self.number_or("family_info.parent_cold_from", 1.0)?,
+                warm_after: self.span_or_zero("family_info.parent_cold_s")?,
+                fall_multiple: self.number_or("family_info.parent_breaks_at", 1.0)?,
+            },
             fall_for: self.span("rules.overload_for_s")?,
-            parent_cold_share: self.number_or("family_info.parent_cold_from", 1.0)?,
-            parent_cold_for: self.span_or_zero("family_info.parent_cold_s")?,
-            parent_fall_multiple: self.number_or("family_info.parent_breaks_at", 1.0)?,
             origin_stop_multiple: self.number_or("family_info.origin_stops_at", 0.0)?,
             list_is_asked: self.0.get("discovery").copied() == Some("subscribe"),
             cancel: self.flag("limits.cancel")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,6 @@
 use crate::chance::Chance;
 use crate::interface::*;
 use crate::purges::Purges;
-use crate::recent::Recent;
 use crate::ring::Ring;
 use crate::state::*;
 
@@ -29,21 +28,19 @@
 const ASIDE_SPREAD_S: f64 = 2.0;
 const OVERDUE_STRETCH: f64 = 2.0; // a pull is looked at after this many times its work and
 const OVERDUE_SLACK: Nanos = Nanos(300_000_000);
-const TRIAL_GAP: Nanos = Nanos(300_000_000);
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 2.0; // the next cache in hash order takes over
-const CROWDED: f64 = 3.0; // with all this full, another download only crowds out those begun
+const PRIOR_COUNT: f64 = 4.0; // own pulls out that weigh as much as what hits took
 const IN_TIME: f64 = 0.9; // of the target time
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
+const COLD_MOST: f64 = 0.25; // of what a cold node can do in the rule's time, for one download
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
 const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
 const FETCH_LATE: f64 = 0.4; // of the target time, and
 const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
 const FETCH_USUAL_S: f64 = 0.1; // until seen
-const ORIGIN_PART: f64 = 1.0; // of the fill limit, for fills that no parent stands before
 const FETCH_FLOOR: f64 = 0.2;
-const UNKEPT_PACE: f64 = 0.8; // of their leeway used by fills: what is not kept is let go first
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.1;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -57,12 +54,12 @@
     types: Vec<TypeRow>,
     nodes: Nodes,
     dls: Slots<Dl>,
-    shadows: Slots<Shadow>,
-    order: Recent,
+    shadows: Shadows,
     fills: Ring<64>,    // kept fills by the quarter powers of two of their ratio
     fill_pace: Ring<3>, // time fills took to send, what is fair for that, and how long they waited first
     fills_out: f64,
     fill_limit: f64,
+    link_part: f64, // this dispatcher's part of the link, in transfers, as most caches were listed
     fetch_usual_s: f64,
     fetch_share: f64, // of the fills that may go by way of the origin
     further: Ring<2>, // further pulls that worked, that failed
@@ -79,12 +76,12 @@
             types: s.content_types.iter().map(row).collect(),
             nodes: Nodes::new(s.zone, s.parent_kind, s.origin_kind),
             dls: Slots::default(),
-            shadows: Slots::default(),
-            order: Recent::default(),
+            shadows: Shadows::default(),
             fills: Ring::new(FILLS_SEEN, BUCKETS),
             fill_pace: Ring::new(JUDGED_OVER, BUCKETS),
             fills_out: 0.0,
             fill_limit: 0.0,
+            link_part: 0.0,
             fetch_usual_s: FETCH_USUAL_S,
             fetch_share: 1.0,
             further: Ring::new(JUDGED_OVER, BUCKETS),
@@ -108,7 +105,7 @@
         if !self.row(d).told.uncacheable {
             let shadow = self.count(now, d, out);
             (keep, seen) = (self.keep(now, &shadow), shadow.work_s);
-        } else if !self.order.holds(d.object.0) {
+        } else if !self.shadows.holds(d.object) {
             out.release_object(d.object);
         }
         let told = d.size_kb.filter(|_| self.s.client_kb_per_s > 0.0).map(|kb| kb / self.s.client_kb_per_s);
@@ -130,7 +127,9 @@
             Some(node) => self.source(now, &dl).map(|source| (node, source)),
             // A cold cache holds little: a look there would only spend what it can bear.
             None => match self.edge(now, &dl) {
-                Some(node) if self.is_cold(now, node) => Some((node, self.source(now, &dl).unwrap_or(node))),
+                Some(node) if self.nodes.is_cold(now, node, self.s.cache_cold.warm_after) => {
+                    Some((node, self.source(now, &dl).unwrap_or(node)))
+                }
                 Some(node) => Some((node, node)),
                 None => self.past_the_caches(now, &dl),
             },
@@ -153,13 +152,7 @@
             no_parent_copy: rank == 3 && self.nodes.is_parent(source) && !sent.is_look(),
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
-        let mean = self.row(&dl.d).mean_work_s;
-        for id in sent.asked() {
-            if let Some(n) = self.nodes.get_mut(id) {
-                n.spent.add(now, 0, mean);
-                n.out += 1;
-            }
-        }
+        self.nodes.count_out(&sent, 1);
         self.fills_out += if sent.is_look() { 0.0 } else { 1.0 };
         self.move_to(id, Stage::Pulling, out);
         if let Some(dl) = self.dls.get_mut(id.0) {
@@ -175,7 +168,7 @@
     /// Counts a download in the shadow table and returns the entry.
     fn count(&mut self, now: Nanos, d: &Download, out: &mut impl Outbox) -> Shadow {
         let mut entry = Shadow { copy_hash: d.copy_hash, last: now, hops: 2.0, ..Shadow::default() };
-        if let Some(known) = self.shadows.get(d.object.0).filter(|_| self.order.holds(d.object.0)) {
+        if let Some(known) = self.shadows.get(d.object) {
             let gap = now.since(known.last).secs().max(1e-3);
             // After twice the estimate without downloads, the estimate is the gap so far.
             let old = known.gap_s.map_or(gap, |old| if gap > 2.0 * old { gap } else { old });
@@ -183,18 +176,21 @@
             // too, and feed itself.
             let counted = Shadow { gap_s: Some(0.5 * gap + 0.5 * old), last: now, ..*known };
             entry = if d.repeat { *known } else { counted };
-        } else if self.order.len() >= TABLE {
-            self.order.drop_oldest().into_iter().for_each(|old| out.release_object(ObjectId(old)));
         }
-        self.shadows.put(d.object.0, entry);
-        self.order.touch(d.object.0);
+        let dropped = self.shadows.put(d.object, entry, TABLE);
+        dropped.into_iter().for_each(|old| out.release_object(old));
         entry
     }
 
     /// Benefit and rank: keep where hops x rate exceeds storage cost.
     fn keep(&mut self, now: Nanos, shadow: &Shadow) -> Keep {
         // A first download has negative benefit: its fill passes unkept, and a hit stays as it was.
-        let Some(gap_s) = shadow.gap_s else { return Keep::default() };
+        // Of Z dispatchers all but one in Z of what is new to one is taken as the location's second download.
+        let new_to_all = 1.0 / f64::from(self.s.zone_dispatchers.max(1));
+        let Some(gap_s) = shadow.gap_s else {
+            let known = self.chance.share() >= new_to_all;
+            return Keep { hit_rank: 0, fill_rank: u8::from(known), ratio: 1.0 };
+        };
         let storage_cost = 1.0 / HORIZON_S;
         let rate = f64::from(self.s.zone_dispatchers.max(1)) / gap_s;
         let keep_benefit = shadow.hops * rate - storage_cost;
@@ -219,15 +215,18 @@
             Remark::Hit => Some(end.took.secs()),
             _ => None,
         };
+        if let Some(n) = self.nodes.get_mut(sent.node).filter(|_| end.remark == Remark::Hit) {
+            n.pace.add(now, 0, end.took.secs());
+            n.pace.add(now, 1, dl.work_s);
+        }
         let row = &mut self.types[dl.d.content_type.0 as usize];
         row.mean_work_s += 0.02 * own_s.map_or(0.0, |own_s| own_s - row.mean_work_s);
         if dl.keep.fill_rank > 0 && matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
             self.fills.add(now, power(dl.keep.ratio), 1.0);
         }
         let from_origin = Some(sent.source) == self.nodes.origin() && !self.s.fills_told;
-        let entry = self.shadows.get_mut(dl.d.object.0);
         // The slot may have been given to another object meanwhile.
-        let Some(entry) = entry.filter(|entry| entry.copy_hash == dl.d.copy_hash) else { return };
+        let Some(entry) = self.shadows.get_mut(dl.d.object, dl.d.copy_hash) else { return };
         match end.remark {
             Remark::FilledFromOrigin => entry.hops = 2.0,
             // Where fills by way of the origin are not told, the source that was named stands in.
@@ -248,31 +247,32 @@
         told.target_time.secs() + told.target_stretch * dl.work_s
     }
 
-    /// May this node be sent something now? Listed, not set aside, and with room if it is cold.
-    fn open(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
-        let s = &self.s;
-        let window = s.fall_for;
-        let (share, cold_for, multiple, sharers) = if self.nodes.is_parent(id) {
-            (s.parent_cold_share, s.parent_cold_for, s.parent_fall_multiple, s.dispatchers)
-        } else {
-            (s.cold_share, s.cold_for, s.fall_multiple, s.zone_dispatchers)
+    /// May this node be sent something now? Listed, not set aside, and not on trial already.
+    fn open(&self, now: Nanos, id: NodeId) -> bool {
+        let n = self.nodes.get(id);
+        n.is_some_and(|n| n.listed && n.aside_until <= now && !(n.on_trial && n.out > 0))
+    }
+
+    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each
+    /// keeps to its own part of what the node can do, so they need no agreement and sizes may be rough. Of
+    /// hundreds, one's part is less than a pull: then chance sends it, and the part is spent, drawn or not. So
+    /// all send what the node can do, with a variance of that times a pull's work: for a few pulls' worth
+    /// three deviations lie under the limit. One download that is a large part of it is not for a cold node.
+    fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
+        let (cold, sharers) = match self.nodes.is_parent(id) {
+            true => (self.s.parent_cold, self.s.dispatchers),
+            false => (self.s.cache_cold, self.s.zone_dispatchers),
         };
         let Some(n) = self.nodes.get_mut(id) else { return false };
-        let age = now.since(n.started);
-        let ready = n.listed && n.aside_until <= now && !(n.on_trial && n.out > 0);
-        if !ready || n.started == Nanos::ZERO || age >= cold_for {
-            return ready;
-        }
-        // A cold node bears multiple x present capacity x window from all dispatchers together. Each keeps
-        // to its own part of what the node can do, so they need no agreement and sizes may be rough.
-        let present = share + (1.0 - share) * age.since(window).secs() / cold_for.secs();
-        let room = (multiple * COLD_LOAD).min(1.0) * present * n.e.weight * window.secs();
-        n.spent.sums(now)[0] + work_s <= room / f64::from(sharers.max(1))
-    }
-
-    fn is_cold(&self, now: Nanos, id: NodeId) -> bool {
-        let n = self.nodes.get(id);
-        n.is_some_and(|n| n.started != Nanos::ZERO && now.since(n.started) < self.s.cold_for)
+        let Some(age) = n.age(now).filter(|age| *age < cold.warm_after) else { return true };
+        let risen = age.since(self.s.fall_for).secs() / cold.warm_after.secs();
+        let present = cold.share + (1.0 - cold.share) * risen;
+        let bearable = (cold.fall_multiple * COLD_LOAD).min(1.0);
+        let room = bearable * present * n.e.weight * self.s.fall_for.secs();
+        let left = room / f64::from(sharers.max(1)) - n.spent.sums(now)[0];
+        let chance = if work_s > COLD_MOST * room { 0.0 } else { (left / work_s).clamp(0.0, 1.0) };
+        n.spent.add(now, 0, chance * work_s);
+        chance > 0.0 && self.chance.share() < chance
     }
 
     /// With no cache of the location open, say because most have just restarted, the download goes
@@ -283,54 +283,62 @@
         self.may_fetch(now, dl.keep.fill_rank).then_some((parent, origin))
     }
 
-    fn load(&self, id: NodeId) -> f64 {
-        let load = |n: &Node| f64::from(n.out * self.s.zone_dispatchers.max(1)) / n.e.weight.max(0.1);
-        self.nodes.get(id).map_or(0.0, load)
+    /// The location's caches in the order of the copy's hash (highest random weight, by size), with their
+    /// load in transfers for each that fits. Alone, a dispatcher counts its own pulls; of several it sees a
+    /// part only, and by chance. So what hits took over their sending time, which shows the load of all, is
+    /// a prior for its count, the stronger the more dispatchers there are.
+    fn caches(&self, now: Nanos, dl: &Dl) -> Vec<(f64, NodeId, f64)> {
+        let mean = self.row(&dl.d).mean_work_s;
+        let z = f64::from(self.s.zone_dispatchers.max(1));
+        let prior = PRIOR_COUNT * (1.0 - 1.0 / z);
+        let paces: Vec<_> = self.nodes.caches().map(|n| n.pace.sums(now)).collect();
+        let (took, work) = paces.iter().fold((mean, mean), |sum, n| (sum.0 + n[0], sum.1 + n[1]));
+        let placed = |(n, [own_took, own_work]): (&Node, [f64; 2])| {
+            let share = (mix(dl.d.copy_hash ^ n.e.hash) >> 11) as f64 / (1_u64 << 53) as f64;
+            let weight = n.e.weight.max(0.1);
+            let pace = ((own_took + mean * took / work) / (own_work + mean)).max(1.0);
+            let load = (prior + f64::from(n.out)) / (prior / pace + weight / z);
+            (-(share.max(1e-18)).ln() / weight, n.e.node, load)
+        };
+        let mut caches: Vec<_> = self.nodes.caches().zip(paces).map(placed).collect();
+        caches.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        caches
     }
 
-    /// The object's hash picks the edge cache (highest random weight, by size); the next in hash order
-    /// takes over where it is not open, full, or was tried.
+    /// The first in hash order; the next takes over where it is not open, full, cold, or was tried.
     fn edge(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
-        let mut caches: Vec<(f64, NodeId)> = Vec::new();
-        for n in self.nodes.caches() {
-            let share = (mix(dl.d.copy_hash ^ n.e.hash) >> 11) as f64 / (1_u64 << 53) as f64;
-            caches.push((-(share.max(1e-18)).ln() / n.e.weight.max(0.01), n.e.node));
-        }
-        caches.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mean = self.row(&dl.d).mean_work_s;
-        let mut open: Vec<NodeId> = caches.iter().map(|(_, id)| *id).collect();
-        open.retain(|id| self.may_repeat_at(now, dl, *id) && self.open(now, *id, mean));
+        let mut caches = self.caches(now, dl);
+        // Where all fail at times and none is open, those that still answer are better than none.
+        let none_open = !caches.iter().any(|c| self.open(now, c.1));
+        let answers = |id: NodeId| none_open && self.nodes.get(id).is_some_and(|n| n.started <= now);
+        caches.retain(|c| self.may_repeat_at(now, dl, c.1) && (self.open(now, c.1) || answers(c.1)));
         let tried = |id: NodeId| dl.pulls.iter().any(|p| p.node == id);
-        let fresh = open.iter().copied().find(|id| !tried(*id) && self.load(*id) < FULL);
-        let least = || open.iter().copied().min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
         // A download that this cache could not serve in time would only slow those begun.
         let target_s = self.target_s(dl);
-        let in_time = |load: f64| load < CROWDED && dl.work_s * load.max(1.0) < IN_TIME * target_s;
-        fresh.or_else(least).filter(|id| in_time(self.load(*id)))
+        let in_time = |load: f64| dl.work_s * load.max(1.0) < IN_TIME * target_s;
+        let mut fresh = caches.iter().filter(|c| !tried(c.1) && c.2 < FULL);
+        let fresh = fresh.find(|c| self.bears(now, c.1, mean)).copied();
+        let least = || caches.iter().copied().min_by(|a, b| a.2.total_cmp(&b.2));
+        let chosen = fresh.or_else(|| least().filter(|c| self.bears(now, c.1, mean)));
+        chosen.filter(|c| in_time(c.2)).map(|c| c.1)
     }
 
     /// The location's link divides itself among all fills, so one too many makes all of them late. Each
-    /// dispatcher keeps its own fills under a limit that follows how slow they run; as it comes near,
-    /// what MC3 would not keep and what is large for its type is let go first. Guards against scans, cold
-    /// caches, slow parents and huge objects alike; harms where fills are slow for reasons of their own.
+    /// dispatcher keeps its own fills under a limit that follows how slow they run; what is large for its
+    /// type is let go first. Guards against scans, cold caches, slow parents and huge objects alike; harms
+    /// where fills are slow for reasons of their own.
     fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
         if self.fill_limit == 0.0 {
-            self.fill_limit = self.link_part().max(1.0);
+            // Several ask at random: a small part is at times run over, at times not used.
+            self.fill_limit = self.link_part + self.link_part.sqrt();
         }
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
         // What waits for its first byte is not on the link.
-        let [took, fair, waited] = self.fill_pace.sums(now);
+        let [took, _, waited] = self.fill_pace.sums(now);
         let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
-        let unkept = if dl.keep.fill_rank == 0 && took > UNKEPT_PACE * fair { 2.0 } else { 1.0 };
-        self.fills_out * on_link * unkept * size < self.fill_limit
-    }
-
-    /// This dispatcher's part of the link, in transfers; where not told, judged from the caches' own links.
-    fn link_part(&self) -> f64 {
-        let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
-        let size =
-            if told > 0.0 { told / pace } else { 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>() };
-        size / f64::from(self.s.zone_dispatchers.max(1))
+        // Chance stands for the part of a download that the limit has room for: it may be under one.
+        (self.fills_out * on_link + self.chance.share()) * size < self.fill_limit
     }
 
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
@@ -354,7 +362,7 @@
         }
         let [took, fair, _] = self.fill_pace.sums(now);
         if took > fair {
-            self.fill_limit = (self.fill_limit * 0.97).max(FILL_FLOOR * self.link_part()).max(1.0);
+            self.fill_limit = (self.fill_limit * 0.97).max(FILL_FLOOR * self.link_part);
         } else if self.fills_out > 0.7 * self.fill_limit {
             self.fill_limit += 0.05;
         }
@@ -369,21 +377,23 @@
             self.nodes.parents().map(|n| (mix(dl.d.copy_hash ^ n.e.hash), n.e.node)).collect();
         parents.sort();
         let mean = self.row(&dl.d).mean_work_s;
-        parents.retain(|(_, id)| self.open(now, *id, mean));
+        parents.retain(|(_, id)| self.open(now, *id));
         let failed = |id: NodeId| dl.pulls.iter().any(|p| !p.is_look() && p.source == id);
         let charged = |n: &Node| n.first_byte_s.unwrap_or(0.0) + n.charged_s(now, CHARGE_FADES);
         let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, charged);
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
-        let few = |n: &Node| f64::from(n.out) < ORIGIN_PART * self.fetch_share * self.fill_limit;
+        let few = |n: &Node| f64::from(n.out) < self.fetch_share * self.fill_limit;
         let origin =
             self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
-        let two: Vec<_> = two.map(|id| (failed(id), first_byte(id), id)).collect();
-        let best = two.into_iter().min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))?.2;
-        let spared =
-            Some(best) == origin && !(self.open(now, best, mean) && self.may_fetch(now, dl.keep.fill_rank));
-        if spared { parents.first().map(|(_, id)| *id) } else { Some(best) }
+        let mut two: Vec<_> = two.map(|id| (failed(id), first_byte(id), id)).collect();
+        two.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let work_s = dl.work_s.max(mean);
+        two.into_iter().map(|source| source.2).find(|id| match Some(*id) == origin {
+            true => self.open(now, *id) && self.may_fetch(now, dl.keep.fill_rank),
+            false => self.bears(now, *id, work_s),
+        })
     }
 
     /// A stopped origin holds every fill that needs it until time runs out, and with them the places on
@@ -391,11 +401,9 @@
     /// at once; then one fetch at a time tries it. Of a slow one, pushed by all to its stop, fewer and
     /// fewer fetches are asked as they come too late to be of use. Harms what it would have served late.
     fn may_fetch(&mut self, now: Nanos, rank: u8) -> bool {
-        let Some(n) = self.nodes.origin().and_then(|id| self.nodes.get_mut(id)) else { return true };
-        if n.aside_until > now || (n.on_trial && now.since(n.tried) < TRIAL_GAP) {
+        if self.nodes.origin().is_some_and(|id| !self.open(now, id)) {
             return false;
         }
-        n.tried = now;
         // What MC3 ranks high is fetched first, so that hits come back; rank 4 stands for uncacheable.
         let power = [2.0, 1.0, 0.5, 0.25, 0.0][usize::from(rank.min(4))];
         self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share.powf(power)
@@ -564,9 +572,7 @@
     /// Judges node and source by how a pull ended.
     fn judge(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd, out: &mut impl Outbox) {
         use Outcome::*;
-        for id in sent.asked() {
-            self.nodes.get_mut(id).into_iter().for_each(|n| n.out = n.out.saturating_sub(1));
-        }
+        self.nodes.count_out(sent, -1);
         let origin = self.nodes.origin();
         let from_source = match end.remark {
             Remark::SourceRefused | Remark::SourceLost => Some(sent.source),
@@ -628,19 +634,11 @@
         n.ended.add(now, usize::from(!worked), 1.0);
         let [ok, failed] = n.ended.sums(now);
         n.in_row = if worked { 0 } else { n.in_row + 1 };
-        let dead = n.in_row >= DEAD_ROW;
         if worked {
             n.on_trial = false;
         } else if n.on_trial || (failed >= FAILURES && failed > FAILED_SHARE * (ok + failed)) {
-            // Of those that still answer at most half go at a time: where more fail, the others would only
-            // be overrun, and a further pull serves better. Harms where all but a few are really broken.
-            let aside = |n: &Node| n.aside_until > now && n.e.node != id;
-            let peers: Vec<bool> = match self.nodes.is_parent(id) {
-                true => self.nodes.parents().map(aside).collect(),
-                false => self.nodes.caches().map(aside).collect(),
-            };
-            let aside = 1 + peers.iter().filter(|aside| **aside).count();
-            if died || dead || (2 * aside <= peers.len() && !self.nodes.is_origin(id)) {
+            // An origin that still answers some is overloaded: without it there would be none at all.
+            if died || n.in_row >= DEAD_ROW || !self.nodes.is_origin(id) {
                 self.set_aside(now, id, died, out);
             }
         }
@@ -701,6 +699,11 @@
             }
         }
         self.nodes.sort();
+        // Where the link is not told, it is judged from the caches' own links.
+        let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
+        let judged = 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>();
+        let part = if told > 0.0 { told / pace } else { judged } / f64::from(self.s.zone_dispatchers.max(1));
+        self.link_part = self.link_part.max(part);
     }
 
     /// A call to discovery failed: the old list stands, and the subscription is asked for again.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,6 +107,17 @@
     pub uncacheable: bool,
 }
 
+/// How nodes of a tier start.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdStart {
+    /// Least share of its capacity with which a node starts.
+    pub share: f64,
+    /// When it is warm at the latest.
+    pub warm_after: Nanos,
+    /// It falls over when sent more than this many times its present capacity.
+    pub fall_multiple: f64,
+}
+
 /// What a dispatcher is told when it starts.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -138,20 +149,12 @@
     pub purge_done: Nanos,
     /// The time to heed a purge.
     pub purge_notice: Nanos,
-    /// Least share of its capacity with which a cache starts, and when it is warm at the latest.
-    pub cold_share: f64,
-    /// See `cold_share`.
-    pub cold_for: Nanos,
-    /// A cold cache falls over when sent more than this many times its present capacity.
-    pub fall_multiple: f64,
-    /// For this long.
+    /// How caches start.
+    pub cache_cold: ColdStart,
+    /// How parents start.
+    pub parent_cold: ColdStart,
+    /// A cold node falls over when sent more than it bears for this long.
     pub fall_for: Nanos,
-    /// The same three figures for parents; they fall after `fall_for` too.
-    pub parent_cold_share: f64,
-    /// See `parent_cold_share`.
-    pub parent_cold_for: Nanos,
-    /// See `parent_cold_share`.
-    pub parent_fall_multiple: f64,
     /// The origin stops when asked for this many times what it can do; 0 for never.
     pub origin_stop_multiple: f64,
     /// The list of nodes comes only when followed.
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -37,11 +37,14 @@
     }
 
     /// All sums over the window that ends at `now`.
-    pub fn sums(&mut self, now: Nanos) -> [f64; N] {
-        self.turn(now);
+    pub fn sums(&self, now: Nanos) -> [f64; N] {
+        let len = self.buckets.len() as u64;
+        let oldest = (now.0 / self.width).max(self.newest) + 1;
         let mut total = [0.0; N];
-        for bucket in &self.buckets {
-            for (sum, value) in total.iter_mut().zip(bucket) {
+        // From the newest bucket back, as far as the window reaches.
+        for back in (0..len).take_while(|back| self.newest + len >= oldest + back) {
+            let at = (self.newest + len - back) % len;
+            for (sum, value) in total.iter_mut().zip(&self.buckets[at as usize]) {
                 *sum += value;
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher keeps of its downloads, objects and nodes. State only: nothing here decides.
 
-use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, Readiness, ZoneId};
+use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, ObjectId, Readiness, ZoneId};
+use crate::recent::Recent;
 use crate::ring::Ring;
 
 /// Values at small indices.
@@ -90,12 +91,6 @@
     pub fn is_look(&self) -> bool {
         self.node == self.source
     }
-
-    /// The nodes that it puts work on.
-    pub fn asked(&self) -> impl Iterator<Item = NodeId> + use<> {
-        let source = (!self.is_look()).then_some(self.source);
-        std::iter::once(self.node).chain(source)
-    }
 }
 
 /// What MC3 says of a copy.
@@ -143,6 +138,39 @@
     pub work_s: Option<f64>,
 }
 
+/// Shadow entries in a bounded table that drops the least recently asked.
+#[derive(Debug, Default)]
+pub struct Shadows {
+    slots: Slots<Shadow>,
+    order: Recent,
+}
+
+impl Shadows {
+    /// Whether there is an entry for this object.
+    pub fn holds(&self, id: ObjectId) -> bool {
+        self.order.holds(id.0)
+    }
+
+    /// The entry of an object.
+    pub fn get(&self, id: ObjectId) -> Option<&Shadow> {
+        self.slots.get(id.0).filter(|_| self.holds(id))
+    }
+
+    /// The entry at an object's slot, if it still is of the copy with this hash.
+    pub fn get_mut(&mut self, id: ObjectId, copy_hash: u64) -> Option<&mut Shadow> {
+        self.slots.get_mut(id.0).filter(|entry| entry.copy_hash == copy_hash)
+    }
+
+    /// Puts an entry and returns what had to leave so that there are no more than `most`.
+    pub fn put(&mut self, id: ObjectId, entry: Shadow, most: usize) -> Option<ObjectId> {
+        let full = !self.holds(id) && self.order.len() >= most;
+        let dropped = full.then(|| self.order.drop_oldest()).flatten();
+        self.slots.put(id.0, entry);
+        self.order.touch(id.0);
+        dropped.map(ObjectId)
+    }
+}
+
 /// What differs by content type.
 #[derive(Debug, Clone)]
 pub struct TypeRow {
@@ -163,6 +191,8 @@
     pub started: Nanos,
     /// Recent pulls that worked and that failed.
     pub ended: Ring<2>,
+    /// What its recent hits took, and their sending time.
+    pub pace: Ring<2>,
     /// Failures since anything worked.
     pub in_row: u32,
     /// Sending time put on it lately.
@@ -177,8 +207,6 @@
     pub heard: Nanos,
     /// Set aside until then.
     pub aside_until: Nanos,
-    /// When it was last tried while on trial.
-    pub tried: Nanos,
     /// To be tried with one pull first.
     pub on_trial: bool,
 }
@@ -191,6 +219,7 @@
             listed: e.readiness == Readiness::Ready,
             started: e.started,
             ended: Ring::new(judged_over, buckets),
+            pace: Ring::new(judged_over, buckets),
             spent: Ring::new(spent_over, buckets),
             in_row: 0,
             first_byte_s: None,
@@ -198,11 +227,15 @@
             out: 0,
             heard: Nanos::ZERO,
             aside_until: Nanos::ZERO,
-            tried: Nanos::ZERO,
             on_trial: false,
         }
     }
 
+    /// The time since it started, if that was lately enough to be told.
+    pub fn age(&self, now: Nanos) -> Option<Nanos> {
+        (self.started > Nanos::ZERO).then(|| now.since(self.started))
+    }
+
     /// Its charge, halved for every `fades` since it was said.
     pub fn charged_s(&self, now: Nanos, fades: Nanos) -> f64 {
         self.charge.0 * 0.5_f64.powf(now.since(self.charge.1).secs() / fades.secs())
@@ -284,6 +317,18 @@
         self.origin
     }
 
+    /// Whether a node started less than `warm_after` ago.
+    pub fn is_cold(&self, now: Nanos, id: NodeId, warm_after: Nanos) -> bool {
+        self.get(id).and_then(|n| n.age(now)).is_some_and(|age| age < warm_after)
+    }
+
+    /// Counts a pull in or out at the nodes that it puts work on.
+    pub fn count_out(&mut self, sent: &Sent, by: i32) {
+        for id in [Some(sent.node), (!sent.is_look()).then_some(sent.source)].into_iter().flatten() {
+            self.get_mut(id).into_iter().for_each(|n| n.out = n.out.saturating_add_signed(by));
+        }
+    }
+
     /// Whether this is a parent.
     pub fn is_parent(&self, id: NodeId) -> bool {
         self.get(id).is_some_and(|n| Some(n.e.kind) == self.parent_kind)
