--- a/src/decide.rs
+++ b/src/decide.rs
@@ -61,7 +61,7 @@
     fill_limit: f64,
     link_part: f64, // this dispatcher's part of the link, in transfers, as most caches were listed
     fetch_usual_s: f64,
-    fetch_share: f64, // of the fills that may go by way of the origin
+    fetches: Ring<2>, // fetches from the origin that came in time, and that were late or refused
     further: Ring<2>, // further pulls that worked, that failed
     purges: Purges,
     chance: Chance,
@@ -83,7 +83,7 @@
             fill_limit: 0.0,
             link_part: 0.0,
             fetch_usual_s: FETCH_USUAL_S,
-            fetch_share: 1.0,
+            fetches: Ring::new(JUDGED_OVER, BUCKETS),
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
             chance: Chance::new(s.seed),
@@ -383,7 +383,7 @@
         let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, charged);
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
-        let few = |n: &Node| f64::from(n.out) < self.fetch_share * self.fill_limit;
+        let few = |n: &Node| f64::from(n.out) < self.fetch_share(now) * self.fill_limit;
         let origin =
             self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
@@ -406,7 +406,7 @@
         }
         // What MC3 ranks high is fetched first, so that hits come back; rank 4 stands for uncacheable.
         let power = [2.0, 1.0, 0.5, 0.25, 0.0][usize::from(rank.min(4))];
-        self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share.powf(power)
+        self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share(now).powf(power)
     }
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
@@ -580,7 +580,7 @@
             _ => None,
         };
         if end.remark == Remark::OriginFailed || (end.outcome == Refused && Some(sent.source) == origin) {
-            self.fetched(true);
+            self.fetches.add(now, 1, 1.0);
         }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
         self.nodes.get_mut(sent.node).filter(|_| answered).into_iter().for_each(|n| n.heard = now);
@@ -596,7 +596,7 @@
                         let late =
                             waited_s > (FETCH_LATE * self.target_s(dl)).max(FETCH_SLOW * self.fetch_usual_s);
                         self.fetch_usual_s += 0.01 * (waited_s - self.fetch_usual_s).min(self.fetch_usual_s);
-                        self.fetched(late);
+                        self.fetches.add(now, usize::from(late), 1.0);
                         self.nodes.get_mut(origin).into_iter().for_each(|n| n.heard = now);
                     }
                     if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source)) {
@@ -615,10 +615,11 @@
         }
     }
 
-    /// An origin that is too slow, or turns fetches away, is asked for fewer.
-    fn fetched(&mut self, too_slow: bool) {
-        let share = if too_slow { 0.9 * self.fetch_share } else { self.fetch_share + 0.03 };
-        self.fetch_share = share.clamp(FETCH_FLOOR, 1.0);
+    /// The part of fills that may go by way of the origin. One that is too slow, or turns fetches away, is
+    /// asked for fewer; by shares, as of hundreds one dispatcher sees few, and for as long as they are recent.
+    fn fetch_share(&self, now: Nanos) -> f64 {
+        let [good, late] = self.fetches.sums(now);
+        1.0 - (1.0 - FETCH_FLOOR) * late / (good + late + 1.0)
     }
 
     /// Counts against a node only if nothing from it worked lately: slow is not silent.
