--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,13 +30,14 @@
 const OVERDUE_SLACK: Nanos = Nanos(300_000_000);
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
-const FULL: f64 = 2.0; // the next cache in hash order takes over
+const FULL: f64 = 1.5; // the next cache in hash order takes over
+const UNEVEN: f64 = 1.5;
 const PRIOR_COUNT: f64 = 4.0; // own pulls out that weigh as much as what hits took
 const IN_TIME: f64 = 0.9; // of the target time
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const COLD_MOST: f64 = 0.25; // of what a cold node can do in the rule's time, for one download
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
-const CHARGE_FADES: Nanos = Nanos(4_000_000_000); // halves what an unasked parent is charged
+const FADES: Nanos = Nanos(4_000_000_000); // halves the first byte of a parent that is not asked
 const FETCH_LATE: f64 = 0.4; // of the target time, and
 const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
 const FETCH_USUAL_S: f64 = 0.1; // until seen
@@ -137,6 +138,7 @@
         let Some((node, source)) = chosen else { return self.give_up(now, id, out) };
         self.serial = self.serial.wrapping_add(1);
         let sent = Sent { node, source, at: now, serial: self.serial, out: true };
+        let by_parent = !sent.is_look() && self.nodes.is_parent(source);
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
         let rank = if self.nodes.is_parent(node) { 0 } else { asked_of };
         let pull = Pull {
@@ -146,10 +148,8 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
-            held_only: !sent.is_look()
-                && self.nodes.is_parent(source)
-                && !self.may_fetch(now, dl.keep.fill_rank),
-            no_parent_copy: rank == 3 && self.nodes.is_parent(source) && !sent.is_look(),
+            held_only: by_parent && !self.may_fetch(now, dl.keep.fill_rank),
+            no_parent_copy: rank == 3 && by_parent,
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
         self.nodes.count_out(&sent, 1);
@@ -186,18 +186,16 @@
     fn keep(&mut self, now: Nanos, shadow: &Shadow) -> Keep {
         // A first download has negative benefit: its fill passes unkept, and a hit stays as it was.
         // Of Z dispatchers all but one in Z of what is new to one is taken as the location's second download.
-        let new_to_all = 1.0 / f64::from(self.s.zone_dispatchers.max(1));
+        let z = f64::from(self.s.zone_dispatchers.max(1));
         let Some(gap_s) = shadow.gap_s else {
-            let known = self.chance.share() >= new_to_all;
-            return Keep { hit_rank: 0, fill_rank: u8::from(known), ratio: 1.0 };
+            return Keep { fill_rank: u8::from(self.chance.share() * z >= 1.0), ratio: 1.0, hit_rank: 0 };
         };
-        let storage_cost = 1.0 / HORIZON_S;
-        let rate = f64::from(self.s.zone_dispatchers.max(1)) / gap_s;
+        let (storage_cost, rate) = (1.0 / HORIZON_S, z / gap_s);
         let keep_benefit = shadow.hops * rate - storage_cost;
         let ratio = shadow.hops * rate / storage_cost;
         let fills = self.fills.sums(now);
-        let rarer =
-            |share: f64| fills[power(ratio)..].iter().sum::<f64>() < share * fills.iter().sum::<f64>();
+        let (above, all): (f64, f64) = (fills[power(ratio)..].iter().sum(), fills.iter().sum());
+        let rarer = |share: f64| above < share * all;
         let rank = match keep_benefit {
             b if b <= 0.0 => return Keep { hit_rank: 1, fill_rank: 0, ratio },
             b if b > TOP_CUT * storage_cost && rarer(TOP_SHARE) => 3,
@@ -221,16 +219,15 @@
         }
         let row = &mut self.types[dl.d.content_type.0 as usize];
         row.mean_work_s += 0.02 * own_s.map_or(0.0, |own_s| own_s - row.mean_work_s);
-        if dl.keep.fill_rank > 0 && matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
-            self.fills.add(now, power(dl.keep.ratio), 1.0);
-        }
+        let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
+        self.fills.add(now, power(dl.keep.ratio), f64::from(u8::from(filled && dl.keep.fill_rank > 0)));
+        // Where fills by way of the origin are not told, the source that was named stands in.
         let from_origin = Some(sent.source) == self.nodes.origin() && !self.s.fills_told;
         // The slot may have been given to another object meanwhile.
         let Some(entry) = self.shadows.get_mut(dl.d.object, dl.d.copy_hash) else { return };
         match end.remark {
-            Remark::FilledFromOrigin => entry.hops = 2.0,
-            // Where fills by way of the origin are not told, the source that was named stands in.
-            Remark::FilledFromCopy => entry.hops = if from_origin { 2.0 } else { 1.0 },
+            Remark::FilledFromCopy if !from_origin => entry.hops = 1.0,
+            Remark::FilledFromCopy | Remark::FilledFromOrigin => entry.hops = 2.0,
             _ => {}
         }
         entry.work_s = own_s.map(|own_s| entry.work_s.map_or(own_s, |w| w.min(own_s))).or(entry.work_s);
@@ -255,8 +252,8 @@
 
     /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each
     /// keeps to its own part of what the node can do, so they need no agreement and sizes may be rough. Of
-    /// hundreds, one's part is less than a pull: then chance sends it, and the part is spent, drawn or not. So
-    /// all send what the node can do, with a variance of that times a pull's work: for a few pulls' worth
+    /// hundreds, one's part is less than a pull: then chance sends it, and the part is spent, drawn or not.
+    /// So all send what the node can do, with a variance of that times a pull's work: for a few pulls' worth
     /// three deviations lie under the limit. One download that is a large part of it is not for a cold node.
     fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
         let (cold, sharers) = match self.nodes.is_parent(id) {
@@ -315,50 +312,59 @@
         caches.retain(|c| self.may_repeat_at(now, dl, c.1) && (self.open(now, c.1) || answers(c.1)));
         let tried = |id: NodeId| dl.pulls.iter().any(|p| p.node == id);
         // A download that this cache could not serve in time would only slow those begun.
-        let target_s = self.target_s(dl);
-        let in_time = |load: f64| dl.work_s * load.max(1.0) < IN_TIME * target_s;
-        let mut fresh = caches.iter().filter(|c| !tried(c.1) && c.2 < FULL);
+        let most = IN_TIME * self.target_s(dl) / dl.work_s;
+        // Where all are as full, another cache would only hold less of what is asked for.
+        let full = FULL.max(UNEVEN * caches.iter().map(|c| c.2).sum::<f64>() / caches.len().max(1) as f64);
+        let mut fresh = caches.iter().filter(|c| !tried(c.1) && c.2 < full);
         let fresh = fresh.find(|c| self.bears(now, c.1, mean)).copied();
         let least = || caches.iter().copied().min_by(|a, b| a.2.total_cmp(&b.2));
         let chosen = fresh.or_else(|| least().filter(|c| self.bears(now, c.1, mean)));
-        chosen.filter(|c| in_time(c.2)).map(|c| c.1)
+        chosen.filter(|c| c.2.max(1.0) < most).map(|c| c.1)
     }
 
     /// The location's link divides itself among all fills, so one too many makes all of them late. Each
     /// dispatcher keeps its own fills under a limit that follows how slow they run; what is large for its
-    /// type is let go first. Guards against scans, cold caches, slow parents and huge objects alike; harms
-    /// where fills are slow for reasons of their own.
+    /// type is let go first. Guards against scans, cold caches, slow parents, huge objects and full caches.
     fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
         if self.fill_limit == 0.0 {
             // Several ask at random: a small part is at times run over, at times not used.
             self.fill_limit = self.link_part + self.link_part.sqrt();
         }
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
-        // What waits for its first byte is not on the link.
-        let [took, _, waited] = self.fill_pace.sums(now);
-        let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
+        let on_link = self.on_link(now);
         // Chance stands for the part of a download that the limit has room for: it may be under one.
         (self.fills_out * on_link + self.chance.share()) * size < self.fill_limit
     }
 
+    /// The part of their time that fills spend on the link: what waits for its first byte is not on it.
+    fn on_link(&self, now: Nanos) -> f64 {
+        let [took, _, waited] = self.fill_pace.sums(now);
+        if took > 0.0 { took / (took + waited) } else { 1.0 }
+    }
+
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
     fn fill_ended(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd) {
         self.fills_out -= 1.0;
         if end.outcome == Outcome::CalledOff {
             return;
         }
+        // What ran out of time may have waited for a slow origin: split as the others were.
+        let waited = match end.outcome {
+            Outcome::TimedOut => end.took.secs() * (1.0 - self.on_link(now)),
+            _ => end.waited.unwrap_or_default().secs(),
+        };
         let told = &self.row(&dl.d).told;
         let leeway = told.target_time.secs() + (told.target_stretch - 1.0).max(0.0) * dl.work_s;
-        let took = end.took.since(end.waited.unwrap_or_default()).secs();
+        let took = end.took.secs() - waited;
         let fair = dl.work_s + FILL_LEEWAY * leeway;
         self.fill_pace.add(now, 0, took);
         self.fill_pace.add(now, 1, fair);
-        self.fill_pace.add(now, 2, end.waited.unwrap_or_default().secs());
-        // A parent may be quick to begin and slow to send: what its fills take over the leeway is charged
-        // to its first byte, and fades while it is not asked. Nothing is charged on the ordinary path.
+        self.fill_pace.add(now, 2, waited);
+        // A parent may be quick to begin and slow to send: what its fills take over the leeway counts as part
+        // of its first byte. It fades while the parent is not asked, so that one is tried again.
         if let Some(n) = self.nodes.get_mut(sent.source) {
-            let old = n.charged_s(now, CHARGE_FADES);
-            n.charge = (old + SMOOTH * ((took - fair).max(0.0) - old), now);
+            let old = n.first_byte_s(now, FADES);
+            n.first_byte = (old + SMOOTH * (waited + (took - fair).max(0.0) - old), now);
         }
         let [took, fair, _] = self.fill_pace.sums(now);
         if took > fair {
@@ -379,8 +385,7 @@
         let mean = self.row(&dl.d).mean_work_s;
         parents.retain(|(_, id)| self.open(now, *id));
         let failed = |id: NodeId| dl.pulls.iter().any(|p| !p.is_look() && p.source == id);
-        let charged = |n: &Node| n.first_byte_s.unwrap_or(0.0) + n.charged_s(now, CHARGE_FADES);
-        let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, charged);
+        let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, |n| n.first_byte_s(now, FADES));
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
         let few = |n: &Node| f64::from(n.out) < self.fetch_share(now) * self.fill_limit;
@@ -429,14 +434,12 @@
         match self.row(&dl.d).told.repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
-            Repeat::Deduped { scope, window } => {
-                let same = match scope {
-                    DedupScope::All => true,
-                    DedupScope::Zone => a.e.zone == b.e.zone,
-                    DedupScope::Cell => a.e.cell == b.e.cell,
-                };
-                same && now.since(sent) < window
-            }
+            Repeat::Deduped { window, .. } if now.since(sent) >= window => false,
+            Repeat::Deduped { scope, .. } => match scope {
+                DedupScope::All => true,
+                DedupScope::Zone => a.e.zone == b.e.zone,
+                DedupScope::Cell => a.e.cell == b.e.cell,
+            },
         }
     }
 
@@ -454,9 +457,7 @@
     /// A stream has begun: the download is bound to this pull.
     pub fn first_byte(&mut self, now: Nanos, id: DlId, number: u32, out: &mut impl Outbox) {
         let node = self.dls.get(id.0).and_then(|dl| dl.pulls.get(number as usize)).map(|p| p.node);
-        if let Some(n) = node.and_then(|node| self.nodes.get_mut(node)) {
-            n.heard = now;
-        }
+        node.and_then(|node| self.nodes.get_mut(node)).into_iter().for_each(|n| n.heard = now);
         self.move_to(id, Stage::Streaming, out);
     }
 
@@ -480,9 +481,6 @@
             self.fill_ended(now, &dl, &sent, end);
         }
         self.judge(now, &dl, &sent, end, out);
-        if worked {
-            self.learn(now, &dl, &sent, end);
-        }
         if again {
             self.further.add(now, usize::from(!worked), 1.0);
         }
@@ -583,10 +581,19 @@
             self.fetches.add(now, 1, 1.0);
         }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
-        self.nodes.get_mut(sent.node).filter(|_| answered).into_iter().for_each(|n| n.heard = now);
+        let mean = self.row(&dl.d).mean_work_s;
+        if let Some(n) = self.nodes.get_mut(sent.node).filter(|_| answered) {
+            n.heard = now;
+            // A load report counts as a hit of mean size that took so many times as long.
+            if let Some(in_hand) = end.report.in_hand {
+                n.pace.add(now, 0, mean * (in_hand / n.e.weight.max(0.1)).max(1.0));
+                n.pace.add(now, 1, mean);
+            }
+        }
         let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
         match (end.outcome, from_source) {
             (Fulfilled, _) => {
+                self.learn(now, dl, sent, end);
                 self.mark(now, sent.node, true, false, out);
                 if !sent.is_look() && filled {
                     self.mark(now, sent.source, true, false, out);
@@ -597,18 +604,13 @@
                             waited_s > (FETCH_LATE * self.target_s(dl)).max(FETCH_SLOW * self.fetch_usual_s);
                         self.fetch_usual_s += 0.01 * (waited_s - self.fetch_usual_s).min(self.fetch_usual_s);
                         self.fetches.add(now, usize::from(late), 1.0);
-                        self.nodes.get_mut(origin).into_iter().for_each(|n| n.heard = now);
-                    }
-                    if let (Some(waited), Some(n)) = (end.waited, self.nodes.get_mut(sent.source)) {
-                        n.heard = now;
-                        let old = n.first_byte_s.unwrap_or(waited.secs());
-                        n.first_byte_s = Some(old + SMOOTH * (waited.secs() - old));
                     }
                 }
             }
-            // An origin that refuses some is overloaded: setting it aside would turn some service into none.
-            (Failed | Refused, Some(source)) if Some(source) == origin => self.suspect(now, source, out),
-            (Failed | Refused | NotHeld, Some(source)) => self.mark(now, source, false, false, out),
+            // An origin that refuses some is overloaded: without it there would be no service at all.
+            (Failed | Refused | NotHeld, Some(source)) if Some(source) != origin => {
+                self.mark(now, source, false, false, out)
+            }
             (Failed, None) | (Broken, _) => self.mark(now, sent.node, false, false, out),
             (Unreachable, _) => self.mark(now, sent.node, false, true, out),
             _ => {}
@@ -616,19 +618,12 @@
     }
 
     /// The part of fills that may go by way of the origin. One that is too slow, or turns fetches away, is
-    /// asked for fewer; by shares, as of hundreds one dispatcher sees few, and for as long as they are recent.
+    /// asked for fewer; by shares, as of hundreds one sees few, and while they are recent.
     fn fetch_share(&self, now: Nanos) -> f64 {
         let [good, late] = self.fetches.sums(now);
         1.0 - (1.0 - FETCH_FLOOR) * late / (good + late + 1.0)
     }
 
-    /// Counts against a node only if nothing from it worked lately: slow is not silent.
-    fn suspect(&mut self, now: Nanos, id: NodeId, out: &mut impl Outbox) {
-        if self.nodes.get_mut(id).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
-            self.mark(now, id, false, false, out);
-        }
-    }
-
     /// Counts for or against a node; sets it aside when recent pulls failed too often, whatever the cause.
     fn mark(&mut self, now: Nanos, id: NodeId, worked: bool, died: bool, out: &mut impl Outbox) {
         let Some(n) = self.nodes.get_mut(id) else { return };
@@ -636,9 +631,9 @@
         let [ok, failed] = n.ended.sums(now);
         n.in_row = if worked { 0 } else { n.in_row + 1 };
         if worked {
-            n.on_trial = false;
+            (n.on_trial, n.heard) = (false, now);
         } else if n.on_trial || (failed >= FAILURES && failed > FAILED_SHARE * (ok + failed)) {
-            // An origin that still answers some is overloaded: without it there would be none at all.
+            // Nor is an origin that still answers some.
             if died || n.in_row >= DEAD_ROW || !self.nodes.is_origin(id) {
                 self.set_aside(now, id, died, out);
             }
@@ -669,11 +664,14 @@
         let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
         let heard = |id: NodeId| self.nodes.get(id).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
         if heard(sent.node) {
-            // The node answers, so what is overdue hangs further up: at the source, or at the origin.
-            let silent =
-                [Some(sent.source), self.nodes.origin()].into_iter().flatten().find(|id| !heard(*id));
-            let Some(id) = silent.filter(|_| !sent.is_look()) else { return };
-            return self.suspect(now, id, out);
+            // The node answers, so what is overdue hangs further up: at the source, or at the origin. It
+            // counts only where nothing worked lately: slow is not silent.
+            let ups = [Some(sent.source), self.nodes.origin()].into_iter().flatten();
+            let Some(id) = ups.filter(|_| !sent.is_look()).find(|id| !heard(*id)) else { return };
+            let worked = self.nodes.get(id).is_some_and(|n| n.ended.sums(now)[0] > 0.0);
+            return if !worked {
+                self.mark(now, id, false, false, out)
+            };
         }
         self.set_aside(now, sent.node, true, out);
         let retriable = |dl: &&Dl| self.row(&dl.d).told.repeat == Repeat::Retriable;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,6 +287,15 @@
     pub waited: Option<Nanos>,
     /// How the answer came about, where told.
     pub remark: Remark,
+    /// The node's load report, where answers carry one.
+    pub report: Report,
+}
+
+/// What a node says of its load: some time old, and not exact.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Report {
+    /// Downloads in hand.
+    pub in_hand: Option<f64>,
 }
 
 /// A pull as the module orders it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -191,16 +191,14 @@
     pub started: Nanos,
     /// Recent pulls that worked and that failed.
     pub ended: Ring<2>,
-    /// What its recent hits took, and their sending time.
+    /// What its recent hits took, and their sending time; load reports count as hits.
     pub pace: Ring<2>,
     /// Failures since anything worked.
     pub in_row: u32,
     /// Sending time put on it lately.
     pub spent: Ring<1>,
-    /// Smoothed time to first byte of its fills.
-    pub first_byte_s: Option<f64>,
-    /// What its fills took too long, smoothed, and when that was said.
-    pub charge: (f64, Nanos),
+    /// Smoothed time to first byte of its fills, and when it was last seen.
+    pub first_byte: (f64, Nanos),
     /// Pulls and fills out.
     pub out: u32,
     /// When it last answered anything.
@@ -222,8 +220,7 @@
             pace: Ring::new(judged_over, buckets),
             spent: Ring::new(spent_over, buckets),
             in_row: 0,
-            first_byte_s: None,
-            charge: (0.0, Nanos::ZERO),
+            first_byte: (0.0, Nanos::ZERO),
             out: 0,
             heard: Nanos::ZERO,
             aside_until: Nanos::ZERO,
@@ -236,9 +233,9 @@
         (self.started > Nanos::ZERO).then(|| now.since(self.started))
     }
 
-    /// Its charge, halved for every `fades` since it was said.
-    pub fn charged_s(&self, now: Nanos, fades: Nanos) -> f64 {
-        self.charge.0 * 0.5_f64.powf(now.since(self.charge.1).secs() / fades.secs())
+    /// Its time to first byte, halved for every `fades` since it was seen.
+    pub fn first_byte_s(&self, now: Nanos, fades: Nanos) -> f64 {
+        self.first_byte.0 * 0.5_f64.powf(now.since(self.first_byte.1).secs() / fades.secs())
     }
 
     /// Takes a newer line of the list; a new start makes a new node of it.
