Let fills give way where their cache would be late with them

A fill takes as much of a full cache as a hit, and of link and parents besides. Now one is begun only if 1.3 times its work at the cache's load, and a usual fetch, fit in the target time.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
 //! Every decision of a dispatcher. An adapter makes one [`Dispatcher`] from the settings, calls `start`,
 //! then a method for each thing that happens: `nodes_listed`, `nodes_changed`, `download`, `first_byte`,
-//! `pull_ended`, `client_gone`, `timer`, `object_purged`, `group_purged`. The module answers
-//! through the `Outbox` it is handed, before the call returns. Words and trait: `src/interface.rs`.
+//! `pull_ended`, `client_gone`, `timer`, `object_purged`, `group_purged`. The module answers through the
+//! `Outbox` it is handed, before the call returns. Words and trait: `src/interface.rs`.
 //! `download` and `pull` are the ordinary path (MC3, docs/design.md); the rest acts when things fail.
 
 use crate::chance::Chance;
@@ -31,9 +31,10 @@
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 1.5; // the next cache in hash order takes over
-const UNEVEN: f64 = 1.5;
+const UNEVEN: f64 = 1.5; // or this many times the location's mean
 const PRIOR_COUNT: f64 = 4.0; // own pulls out that weigh as much as what hits took
 const IN_TIME: f64 = 0.9; // of the target time
+const FILL_WEIGHT: f64 = 1.3; // a fill keeps this much more of its target time in reserve than a hit
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const COLD_MOST: f64 = 0.25; // of what a cold node can do in the rule's time, for one download
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
@@ -42,6 +43,7 @@
 const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
 const FETCH_USUAL_S: f64 = 0.1; // until seen
 const FETCH_FLOOR: f64 = 0.2;
+const SPREAD: f64 = 3.0; // standard deviations of own fills that the first limit leaves room for
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.1;
 const FURTHER_FLOOR: f64 = 0.1;
@@ -56,11 +58,8 @@
     nodes: Nodes,
     dls: Slots<Dl>,
     shadows: Shadows,
-    fills: Ring<64>,    // kept fills by the quarter powers of two of their ratio
-    fill_pace: Ring<3>, // time fills took to send, what is fair for that, and how long they waited first
-    fills_out: f64,
-    fill_limit: f64,
-    link_part: f64, // this dispatcher's part of the link, in transfers, as most caches were listed
+    fills: Ring<64>, // kept fills by the quarter powers of two of their ratio
+    link: Link,
     fetch_usual_s: f64,
     fetches: Ring<2>, // fetches from the origin that came in time, and that were late or refused
     further: Ring<2>, // further pulls that worked, that failed
@@ -79,10 +78,7 @@
             dls: Slots::default(),
             shadows: Shadows::default(),
             fills: Ring::new(FILLS_SEEN, BUCKETS),
-            fill_pace: Ring::new(JUDGED_OVER, BUCKETS),
-            fills_out: 0.0,
-            fill_limit: 0.0,
-            link_part: 0.0,
+            link: Link::new(JUDGED_OVER, BUCKETS),
             fetch_usual_s: FETCH_USUAL_S,
             fetches: Ring::new(JUDGED_OVER, BUCKETS),
             further: Ring::new(JUDGED_OVER, BUCKETS),
@@ -125,6 +121,7 @@
         let Some(dl) = self.dls.get(id.0).cloned() else { return };
         let chosen = match dl.missed_at {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
+            Some(node) if self.too_full(now, &dl, node) => None,
             Some(node) => self.source(now, &dl).map(|source| (node, source)),
             // A cold cache holds little: a look there would only spend what it can bear.
             None => match self.edge(now, &dl) {
@@ -153,7 +150,7 @@
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
         self.nodes.count_out(&sent, 1);
-        self.fills_out += if sent.is_look() { 0.0 } else { 1.0 };
+        self.link.out += if sent.is_look() { 0.0 } else { 1.0 };
         self.move_to(id, Stage::Pulling, out);
         if let Some(dl) = self.dls.get_mut(id.0) {
             dl.pulls.push(sent);
@@ -302,6 +299,14 @@
         caches
     }
 
+    /// Whether a fill at this cache would come too late. Where caches are overloaded, hits come first: a fill
+    /// takes as much of the cache, and of link and parent besides. Guards against any overload, whatever its
+    /// cause; harms an object that only fills would make a hit.
+    fn too_full(&self, now: Nanos, dl: &Dl, node: NodeId) -> bool {
+        let load = self.caches(now, dl).iter().find(|c| c.1 == node).map_or(1.0, |c| c.2.max(1.0));
+        FILL_WEIGHT * dl.work_s * load + self.fetch_usual_s > IN_TIME * self.target_s(dl)
+    }
+
     /// The first in hash order; the next takes over where it is not open, full, cold, or was tried.
     fn edge(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
         let mean = self.row(&dl.d).mean_work_s;
@@ -326,51 +331,48 @@
     /// dispatcher keeps its own fills under a limit that follows how slow they run; what is large for its
     /// type is let go first. Guards against scans, cold caches, slow parents, huge objects and full caches.
     fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
-        if self.fill_limit == 0.0 {
+        if self.link.limit == 0.0 {
             // Several ask at random: a small part is at times run over, at times not used.
-            self.fill_limit = self.link_part + self.link_part.sqrt();
+            let others = 1.0 - 1.0 / f64::from(self.s.zone_dispatchers.max(1));
+            self.link.limit = self.link.part + SPREAD * (self.link.part * others).sqrt();
         }
         let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
-        let on_link = self.on_link(now);
+        // What waits for its first byte is not on the link.
+        let [took, _, waited] = self.link.pace.sums(now);
+        let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
         // Chance stands for the part of a download that the limit has room for: it may be under one.
-        (self.fills_out * on_link + self.chance.share()) * size < self.fill_limit
-    }
-
-    /// The part of their time that fills spend on the link: what waits for its first byte is not on it.
-    fn on_link(&self, now: Nanos) -> f64 {
-        let [took, _, waited] = self.fill_pace.sums(now);
-        if took > 0.0 { took / (took + waited) } else { 1.0 }
+        (self.link.out * on_link + self.chance.share()) * size < self.link.limit
     }
 
     /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
     fn fill_ended(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd) {
-        self.fills_out -= 1.0;
+        self.link.out -= 1.0;
         if end.outcome == Outcome::CalledOff {
             return;
         }
-        // What ran out of time may have waited for a slow origin: split as the others were.
-        let waited = match end.outcome {
-            Outcome::TimedOut => end.took.secs() * (1.0 - self.on_link(now)),
-            _ => end.waited.unwrap_or_default().secs(),
-        };
+        // What ran out of time mostly waited, as for a slow origin or parent: it says nothing of the link.
+        let waited = if end.outcome == Outcome::TimedOut { Some(end.took) } else { end.waited };
+        let waited = waited.unwrap_or_default().secs();
         let told = &self.row(&dl.d).told;
         let leeway = told.target_time.secs() + (told.target_stretch - 1.0).max(0.0) * dl.work_s;
         let took = end.took.secs() - waited;
         let fair = dl.work_s + FILL_LEEWAY * leeway;
-        self.fill_pace.add(now, 0, took);
-        self.fill_pace.add(now, 1, fair);
-        self.fill_pace.add(now, 2, waited);
+        self.link.pace.add(now, 0, took);
+        self.link.pace.add(now, 1, fair);
+        self.link.pace.add(now, 2, waited);
         // A parent may be quick to begin and slow to send: what its fills take over the leeway counts as part
-        // of its first byte. It fades while the parent is not asked, so that one is tried again.
+        // of its first byte. It fades while the parent is not asked, so that one is tried again. Of a slow
+        // origin's time only the usual is the parent's: else objects would wander between parents.
+        let own = if end.remark == Remark::FilledFromCopy { waited } else { waited.min(self.fetch_usual_s) };
         if let Some(n) = self.nodes.get_mut(sent.source) {
             let old = n.first_byte_s(now, FADES);
-            n.first_byte = (old + SMOOTH * (waited + (took - fair).max(0.0) - old), now);
+            n.first_byte = (old + SMOOTH * (own + (took - fair).max(0.0) - old), now);
         }
-        let [took, fair, _] = self.fill_pace.sums(now);
+        let [took, fair, _] = self.link.pace.sums(now);
         if took > fair {
-            self.fill_limit = (self.fill_limit * 0.97).max(FILL_FLOOR * self.link_part);
-        } else if self.fills_out > 0.7 * self.fill_limit {
-            self.fill_limit += 0.05;
+            self.link.limit = (self.link.limit * 0.97).max(FILL_FLOOR * self.link.part);
+        } else if self.link.out > 0.7 * self.link.limit {
+            self.link.limit += 0.05;
         }
     }
 
@@ -388,7 +390,7 @@
         let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, |n| n.first_byte_s(now, FADES));
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
-        let few = |n: &Node| f64::from(n.out) < self.fetch_share(now) * self.fill_limit;
+        let few = |n: &Node| f64::from(n.out) < self.fetch_share(now) * self.link.limit;
         let origin =
             self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
@@ -590,12 +592,11 @@
                 n.pace.add(now, 1, mean);
             }
         }
-        let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
         match (end.outcome, from_source) {
             (Fulfilled, _) => {
                 self.learn(now, dl, sent, end);
                 self.mark(now, sent.node, true, false, out);
-                if !sent.is_look() && filled {
+                if matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
                     self.mark(now, sent.source, true, false, out);
                     if let Some(origin) = origin.filter(|_| end.remark == Remark::FilledFromOrigin) {
                         self.mark(now, origin, true, false, out);
@@ -702,7 +703,7 @@
         let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
         let judged = 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>();
         let part = if told > 0.0 { told / pace } else { judged } / f64::from(self.s.zone_dispatchers.max(1));
-        self.link_part = self.link_part.max(part);
+        self.link.part = self.link.part.max(part);
     }
 
     /// A call to discovery failed: the old list stands, and the subscription is asked for again.
--- a/src/state.rs
+++ b/src/state.rs
@@ -180,6 +180,26 @@
     pub mean_work_s: f64,
 }
 
+/// The location's link for fills, as one dispatcher sees it.
+#[derive(Debug)]
+pub struct Link {
+    /// Time own fills took to send, what is fair for that, and how long they waited first.
+    pub pace: Ring<3>,
+    /// Own fills out.
+    pub out: f64,
+    /// How many there may be; 0 until the first.
+    pub limit: f64,
+    /// This dispatcher's part of the link, in transfers, as most caches were listed.
+    pub part: f64,
+}
+
+impl Link {
+    /// A link of which nothing was seen, judged over a window.
+    pub fn new(judged_over: Nanos, buckets: usize) -> Self {
+        Link { pace: Ring::new(judged_over, buckets), out: 0.0, limit: 0.0, part: 0.0 }
+    }
+}
+
 /// A node and what was seen of it.
 #[derive(Debug, Clone)]
 pub struct Node {
