--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 const FETCH_LATE: f64 = 0.4; // of the target time, and
 const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
 const FETCH_USUAL_S: f64 = 0.1; // until seen
-const FETCH_FLOOR: f64 = 0.2;
+const FETCH_FLOOR: f64 = 0.1;
 const SPREAD: f64 = 3.0; // standard deviations of own fills that the first limit leaves room for
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.1;
@@ -413,7 +413,7 @@
         }
         // What MC3 ranks high is fetched first, so that hits come back; rank 4 stands for uncacheable.
         let power = [2.0, 1.0, 0.5, 0.25, 0.0][usize::from(rank.min(4))];
-        self.s.origin_stop_multiple == 0.0 || self.chance.share() < self.fetch_share(now).powf(power)
+        self.chance.share() < self.fetch_share(now).powf(power)
     }
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
