Leave a silent source after two overdue fills and call off what hangs on it

Told from slow parents by no answer at all, from the origin by the other parents' fills being quick. Now two failures in a row, however far apart, set a node aside (an origin: eight), and what is out on a silent source is called off to go elsewhere, as it was on a silent cache. Also guards against parents that die unseen; harms a slow node of which nothing is heard by chance (both pulls go elsewhere).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,7 +23,8 @@
 const JUDGED_OVER: Nanos = Nanos(2_000_000_000);
 const FAILURES: f64 = 3.0; // fewer say nothing of a node
 const FAILED_SHARE: f64 = 0.5;
-const DEAD_ROW: u32 = 8; // failures with none between that worked
+const ROW: u32 = 2; // failures with none between that worked, however far apart
+const DEAD_ROW: u32 = 8; // the same for an origin
 const ASIDE: Nanos = Nanos(3_000_000_000);
 const ASIDE_SPREAD_S: f64 = 2.0;
 const OVERDUE_STRETCH: f64 = 2.0; // a pull is looked at after this many times its work and
@@ -269,8 +270,7 @@
         chance > 0.0 && self.chance.share() < chance
     }
 
-    /// With no cache of the location open, say because most have just restarted, the download goes
-    /// straight to a parent over the location's link, where that is allowed and the link has room.
+    /// With no cache of the location open, straight to a parent, where allowed and the link has room.
     fn past_the_caches(&mut self, now: Nanos, dl: &Dl) -> Option<(NodeId, NodeId)> {
         let origin = self.nodes.origin().filter(|_| self.s.direct && dl.may_have_run.is_none())?;
         let parent = self.source(now, dl).filter(|id| *id != origin)?;
@@ -561,7 +561,7 @@
     fn call_off(&mut self, id: DlId, at: Option<NodeId>, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get(id.0).filter(|_| self.s.cancel) else { return };
         for (number, sent) in dl.pulls.iter().enumerate() {
-            if sent.out && at.is_none_or(|node| node == sent.node) {
+            if sent.out && at.is_none_or(|node| node == sent.node || node == sent.source) {
                 out.call_off(id, number as u32);
             }
         }
@@ -633,8 +633,8 @@
         n.in_row = if worked { 0 } else { n.in_row + 1 };
         if worked {
             (n.on_trial, n.heard) = (false, now);
-        } else if n.on_trial || (failed >= FAILURES && failed > FAILED_SHARE * (ok + failed)) {
-            // Nor is an origin that still answers some.
+        } else if n.on_trial || n.in_row >= ROW || failed >= FAILURES.max(FAILED_SHARE * (ok + failed)) {
+            // An origin that still answers some stays: without it there would be no service at all.
             if died || n.in_row >= DEAD_ROW || !self.nodes.is_origin(id) {
                 self.set_aside(now, id, died, out);
             }
@@ -655,8 +655,8 @@
         out.note(&format!("node {} set aside for {:.1} s", id.0, aside.secs()));
     }
 
-    /// A pull is overdue. If its node answered nothing since it was sent, the node is silent: it is set
-    /// aside, and what is out there is called off to go elsewhere.
+    /// A pull is overdue. If its node, or its source, answered nothing since it was sent, that is silent: it
+    /// is set aside, and what is out there is called off to go elsewhere.
     pub fn timer(&mut self, now: Nanos, token: u64, out: &mut impl Outbox) {
         if token == u64::MAX {
             return out.follow();
@@ -664,21 +664,21 @@
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
         let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
         let heard = |id: NodeId| self.nodes.get(id).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
-        if heard(sent.node) {
-            // The node answers, so what is overdue hangs further up: at the source, or at the origin. It
-            // counts only where nothing worked lately: slow is not silent.
-            let ups = [Some(sent.source), self.nodes.origin()].into_iter().flatten();
-            let Some(id) = ups.filter(|_| !sent.is_look()).find(|id| !heard(*id)) else { return };
-            let worked = self.nodes.get(id).is_some_and(|n| n.ended.sums(now)[0] > 0.0);
-            return if !worked {
-                self.mark(now, id, false, false, out)
-            };
-        }
-        self.set_aside(now, sent.node, true, out);
+        // Where the node answers, what is overdue hangs further up: at the source, or at the origin. There it
+        // counts only where nothing worked lately: slow is not silent.
+        let up = [Some(sent.node), Some(sent.source), self.nodes.origin()].into_iter().flatten();
+        let reach = if sent.is_look() { 1 } else { 3 };
+        let Some(silent) = up.take(reach).find(|id| !heard(*id)) else { return };
+        if silent == sent.node {
+            self.set_aside(now, silent, true, out);
+        } else if self.nodes.get(silent).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
+            self.mark(now, silent, false, false, out);
+        }
+        let aside = self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
         let retriable = |dl: &&Dl| self.row(&dl.d).told.repeat == Repeat::Retriable;
-        let stuck = self.dls.iter().filter(|dl| dl.stage == Stage::Pulling).filter(retriable);
+        let stuck = self.dls.iter().filter(|dl| aside && dl.stage == Stage::Pulling).filter(retriable);
         for id in stuck.map(|dl| dl.d.dl).collect::<Vec<_>>() {
-            self.call_off(id, Some(sent.node), out);
+            self.call_off(id, Some(silent), out);
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -69,14 +69,15 @@
         dl 0: pull 1 from 1 rank 0 join
         dl 0: pull 2 from 2 rank 0 join
         dl 1: pull 1 from 1 rank 1 join
-        dl 1: pull 2 from 2 rank 1 join
-        dl 2: pull 1 from 1 rank 1 join
         note: node 1 set aside
+        dl 1: pull 2 from 2 rank 1 join
         dl 2: pull 2 from 2 rank 1 join
+        dl 2: pull 0 from 0 rank 1 join
         dl 3: pull 2 from 2 rank 1 join
+        note: node 2 set aside
         dl 3: pull 0 from 0 rank 1 join
         dl 10: pull 1 from 1 rank 1 join
-        dl 11: pull 2 from 2 rank 1 join
+        dl 11: pull 0 from 0 rank 1 join
         dl 12: pull 1 from 1 rank 1 join
     "#]]
     .assert_eq(&trace.0);
@@ -297,3 +298,30 @@
 fn hit(took: u64) -> PullEnd {
     PullEnd { took: ms(took), ..end(Outcome::Fulfilled, Remark::Hit) }
 }
+
+#[test]
+fn fills_that_hang_on_a_silent_parent_move_after_two() {
+    // Found at full size: one of hundreds asks a parent every few seconds, so three failures in 2 s never
+    // came, and each of its fills hung until its expiry.
+    let (mut module, mut trace) = start(settings());
+    module.nodes_changed(ms(900), &[entry(5, 2, Readiness::Gone, Nanos::ZERO)], &mut trace);
+    for (dl, at) in [(0, 1_000), (1, 4_000), (2, 4_100)] {
+        ask(&mut module, ms(at), dl, 0, 21, &mut trace);
+        module.pull_ended(ms(at + 1), DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), &mut trace);
+    }
+    module.timer(ms(1_600), 2, &mut trace);
+    module.timer(ms(4_600), 1 << 32 | 4, &mut trace);
+    expect![[r#"
+        dl 0: pull 0 from 0 rank 0 join
+        dl 0: pull 0 from 4 rank 1 join
+        dl 1: pull 0 from 0 rank 1 join
+        dl 1: pull 0 from 4 rank 1 join
+        dl 2: pull 0 from 0 rank 1 join
+        dl 2: pull 0 from 4 rank 1 join
+        note: node 4 set aside
+        dl 0: call off 1
+        dl 1: call off 1
+        dl 2: call off 1
+    "#]]
+    .assert_eq(&trace.0);
+}
