--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -127,3 +127,8 @@
     let closed = outcome == Outcome::Fulfilled;
     PullEnd { outcome, took: ms(120), closed, waited: Some(ms(20)), remark, report: Report::default() }
 }
+
+/// The look of download `dl` finds nothing.
+pub fn miss(module: &mut Dispatcher, now: Nanos, dl: u32, trace: &mut Trace) {
+    module.pull_ended(now, DlId(dl), 0, &end(Outcome::NotHeld, Remark::None), trace);
+}
