Count second fills among further pulls and ask a failed source no more

Told from overload of caches by the refusals' remark (the source). Harms a download that a third source would have served.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -394,12 +394,11 @@
         let origin =
             self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
-        let mut two: Vec<_> = two.map(|id| (failed(id), first_byte(id), id)).collect();
-        two.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let work_s = dl.work_s.max(mean);
-        two.into_iter().map(|source| source.2).find(|id| match Some(*id) == origin {
+        let mut two: Vec<_> = two.filter(|id| !failed(*id)).map(|id| (first_byte(id), id)).collect();
+        two.sort_by(|a, b| a.0.total_cmp(&b.0));
+        two.into_iter().map(|source| source.1).find(|id| match Some(*id) == origin {
             true => self.open(now, *id) && self.may_fetch(now, dl.keep.fill_rank),
-            false => self.bears(now, *id, work_s),
+            false => self.bears(now, *id, dl.work_s.max(mean)),
         })
     }
 
@@ -471,7 +470,8 @@
         let sent = *sent;
         use Outcome::{CalledOff, Fulfilled, NotHeld, NotSent, Refused, Unreachable};
         let missed = end.outcome == NotHeld && sent.is_look();
-        let again = number > 0 && dl.missed_at.is_none() && !missed && end.outcome != CalledOff;
+        let filled = dl.pulls.iter().take(number as usize).any(|p| !p.is_look());
+        let again = (filled || (number > 0 && dl.missed_at.is_none())) && !missed && end.outcome != CalledOff;
         let worked = end.outcome == Fulfilled;
         let never_ran = matches!(end.outcome, Refused | Unreachable | NotSent | NotHeld);
         if !worked && !never_ran && dl.may_have_run.is_none() {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -238,3 +238,23 @@
     "#]]
     .assert_eq(&trace.0);
 }
+
+#[test]
+fn where_sources_refuse_fills_further_pulls_become_few() {
+    // Found at full size: second fills did not count as further pulls, so each download made all six.
+    let (mut module, mut trace) = start(settings());
+    let pulls = (0..6).map(|dl| {
+        trace.0.clear();
+        ask(&mut module, ms(1_000), dl, 0, 10 * dl, &mut trace);
+        for number in 0..6 {
+            let refused = end(Outcome::Refused, Remark::SourceRefused);
+            let ended = if number % 2 == 0 { end(Outcome::NotHeld, Remark::None) } else { refused };
+            module.pull_ended(ms(1_010), DlId(dl), number, &ended, &mut trace);
+        }
+        trace.0.matches("pull").count()
+    });
+    expect![[r#"
+        pulls for each of six: [4, 2, 4, 1, 1, 3]
+    "#]]
+    .assert_eq(&format!("pulls for each of six: {:?}\n", pulls.collect::<Vec<_>>()));
+}
