--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -258,3 +258,27 @@
     "#]]
     .assert_eq(&format!("pulls for each of six: {:?}\n", pulls.collect::<Vec<_>>()));
 }
+
+#[test]
+fn dispatchers_that_set_a_node_aside_together_come_back_apart() {
+    // Hundreds that meet a dead cache in the same moment must not all try it again in another.
+    let back = |seed| {
+        let (mut module, mut trace) = start(Settings { seed, ..settings() });
+        ask(&mut module, ms(1_000), 0, 0, 9, &mut trace);
+        module.timer(ms(1_600), 1, &mut trace);
+        module.pull_ended(ms(1_600), DlId(0), 0, &end(Outcome::CalledOff, Remark::None), &mut trace);
+        trace.0.clear();
+        let tries = (0..100_u32).map(|step| (step, ms(3_000 + 50 * u64::from(step))));
+        let mut asked = tries.map(|(step, now)| {
+            ask(&mut module, now, 10 + step, 0, 9, &mut trace);
+            (now.0 / 1_000_000, trace.0.contains("pull 1 "))
+        });
+        asked.find(|(_, back)| *back).map_or(0, |(now, _)| now)
+    };
+    let mut seconds = [0; 8];
+    (0..200).for_each(|seed| seconds[(back(seed) / 1_000) as usize] += 1);
+    expect![[r#"
+        back in second 0, 1, ...: [0, 0, 0, 0, 35, 100, 65, 0]
+    "#]]
+    .assert_eq(&format!("back in second 0, 1, ...: {seconds:?}\n"));
+}
