--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -1,102 +1,42 @@
 //! The door of one instance: wire ids to small indices and back, and the lines that it sends.
 
+use copperroute::ids::Ids;
 use copperroute::interface::{DlId, Nanos, NodeId, ObjectId, Outbox, Pull};
-use std::collections::HashMap;
 use std::fmt::Write as _;
 
-/// Slots that are handed out lowest first and used again once released.
-#[derive(Default)]
-struct Slots {
-    next: u32,
-    free: Vec<u32>,
-}
-
-impl Slots {
-    fn take(&mut self) -> u32 {
-        self.free.pop().unwrap_or_else(|| {
-            self.next += 1;
-            self.next - 1
-        })
-    }
-}
-
 /// What one instance knows of the wire's ids.
 pub struct Door {
     instance: u32,
-    dl_by_id: HashMap<u64, u32>,
-    ids: Vec<u64>,
-    dl_slots: Slots,
-    object_by_name: HashMap<(String, u64), u32>,
-    objects: Vec<(String, u64)>,
-    object_slots: Slots,
-    node_by_address: HashMap<String, u32>,
-    addresses: Vec<String>,
+    dls: Ids<u64>,
+    objects: Ids<(String, u64)>,
+    nodes: Ids<String>,
     /// Lines not yet written.
     pub lines: String,
 }
 
 impl Door {
     pub fn new(instance: u32) -> Self {
-        Door {
-            instance,
-            dl_by_id: HashMap::new(),
-            ids: Vec::new(),
-            dl_slots: Slots::default(),
-            object_by_name: HashMap::new(),
-            objects: Vec::new(),
-            object_slots: Slots::default(),
-            node_by_address: HashMap::new(),
-            addresses: Vec::new(),
-            lines: String::new(),
-        }
+        let (dls, objects, nodes) = (Ids::default(), Ids::default(), Ids::default());
+        Door { instance, dls, objects, nodes, lines: String::new() }
     }
 
     /// A slot for a download that has just come.
     pub fn open(&mut self, id: u64) -> DlId {
-        let slot = self.dl_slots.take();
-        if slot as usize == self.ids.len() {
-            self.ids.push(id);
-        } else {
-            self.ids[slot as usize] = id;
-        }
-        self.dl_by_id.insert(id, slot);
-        DlId(slot)
+        DlId(self.dls.open(id))
     }
 
     /// The slot of a download, if it is still held.
     pub fn held(&self, id: u64) -> Option<DlId> {
-        self.dl_by_id.get(&id).map(|slot| DlId(*slot))
+        self.dls.held(&id).map(DlId)
     }
 
     pub fn object(&mut self, name: &str, part: u64) -> ObjectId {
-        let name = (name.to_string(), part);
-        if let Some(slot) = self.object_by_name.get(&name) {
-            return ObjectId(*slot);
-        }
-        let slot = self.object_slots.take();
-        if slot as usize == self.objects.len() {
-            self.objects.push(name.clone());
-        } else {
-            self.objects[slot as usize] = name.clone();
-        }
-        self.object_by_name.insert(name, slot);
-        ObjectId(slot)
+        ObjectId(self.objects.open((name.to_string(), part)))
     }
 
     /// The index of a listed node, new or known.
     pub fn list_node(&mut self, address: &str) -> NodeId {
-        if let Some(node) = self.node(address) {
-            return node;
-        }
-        let node = self.addresses.len() as u32;
-        self.addresses.push(address.to_string());
-        self.node_by_address.insert(address.to_string(), node);
-        NodeId(node)
-    }
-
-    /// The index of a node that was listed before.
-    pub fn node(&self, address: &str) -> Option<NodeId> {
-        self.node_by_address.get(address).map(|node| NodeId(*node))
+        NodeId(self.nodes.open(address.to_string()))
     }
 }
 
@@ -128,25 +68,25 @@
             self,
             "pull_via\t{}\t{}\t{}\t{manner}\t{}\t{}\t{}\t{}",
             self.instance,
-            self.ids[dl.0 as usize],
+            self.dls.key(dl.0),
             Secs(pull.try_for),
-            self.addresses[pull.source.0 as usize],
-            self.addresses[pull.node.0 as usize],
+            self.nodes.key(pull.source.0),
+            self.nodes.key(pull.node.0),
             pull.rank,
             Secs(pull.max_age),
         );
     }
 
     fn call_off(&mut self, dl: DlId, number: u32) {
-        say!(self, "revoke\t{}\t{}\t{number}", self.instance, self.ids[dl.0 as usize]);
+        say!(self, "revoke\t{}\t{}\t{number}", self.instance, self.dls.key(dl.0));
     }
 
     fn throttle(&mut self, dl: DlId, come_back: Option<Nanos>) {
-        say!(self, "not_now\t{}\t{}\t{}", self.instance, self.ids[dl.0 as usize], Secs(come_back));
+        say!(self, "not_now\t{}\t{}\t{}", self.instance, self.dls.key(dl.0), Secs(come_back));
     }
 
     fn abandon(&mut self, dl: DlId) {
-        say!(self, "abort\t{}\t{}", self.instance, self.ids[dl.0 as usize]);
+        say!(self, "abort\t{}\t{}", self.instance, self.dls.key(dl.0));
     }
 
     fn arm(&mut self, span: Nanos, token: u64) {
@@ -162,16 +102,10 @@
     }
 
     fn release(&mut self, dl: DlId) {
-        let id = self.ids[dl.0 as usize];
-        if self.dl_by_id.remove(&id).is_some() {
-            self.dl_slots.free.push(dl.0);
-        }
+        self.dls.release(dl.0);
     }
 
     fn release_object(&mut self, object: ObjectId) {
-        let name = &self.objects[object.0 as usize];
-        if self.object_by_name.remove(name).is_some() {
-            self.object_slots.free.push(object.0);
-        }
+        self.objects.release(object.0);
     }
 }
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! `copperroute-benchlink`: the bench's wire on standard input and output, the decisions behind it.
 
 mod door;
-mod settings;
 mod wire;
 
 use std::io::{self, BufWriter};
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -1,11 +1,11 @@
 //! The wire: batches of tab-set lines in, one reply to each out.
 
 use crate::door::Door;
-use crate::settings::Options;
 use copperroute::decide::Dispatcher;
 use copperroute::interface::{
     Download, Nanos, NodeEntry, Outcome, PullEnd, Readiness, Remark, Report, TypeId, ZoneId, mix, stable_hash,
 };
+use copperroute_settings::Options;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{BufRead, Write};
@@ -157,7 +157,7 @@
 
 fn begin(fields: &mut Fields<'_>, number: u32) -> Result<Instance, String> {
     let seed = fields.number("init_seed")?;
-    let settings = Options::new(&fields.parts[fields.at..])?.settings(seed)?;
+    let settings = Options::from_pairs(&fields.parts[fields.at..])?.settings(seed)?;
     let types = settings.content_types.len() as u32;
     Ok(Instance { module: Dispatcher::new(settings), door: Door::new(number), types })
 }
--- /dev/null
+++ b/dispatcher/src/config.rs
@@ -0,0 +1,85 @@
+//! The configuration file: what the operators tell one dispatcher.
+
+use copperroute::interface::Settings;
+use copperroute_protocol::changes::Known;
+use copperroute_settings::{Connections, Names, Options};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The file as it stands.
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    changelog: SocketAddr,
+    #[serde(default)]
+    known: Known,
+    settings: serde_json::Value,
+}
+
+/// What the machine gives.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub sockets: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// What a dispatcher is started with.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// What the machine gives.
+    pub limits: Limits,
+    /// Where the change log is.
+    pub changelog: SocketAddr,
+    /// The events up to the start.
+    pub known: Known,
+    /// What the module is told.
+    pub settings: Settings,
+    /// What connections to nodes are held to.
+    pub connections: Connections,
+    /// The names that the protocol uses.
+    pub names: Names,
+}
+
+impl Config {
+    /// Reads a configuration; an error is one line with the file, the field and what was expected.
+    pub fn read(path: &Path) -> Result<Config, String> {
+        let named = |what: String| format!("{}: {what}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|fault| named(fault.to_string()))?;
+        Config::parse(&text).map_err(named)
+    }
+
+    /// The same from the text of a file.
+    pub fn parse(text: &str) -> Result<Config, String> {
+        let file: File = serde_json::from_str(text).map_err(|fault| fault.to_string())?;
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| format!("seed: expected hex digits, found '{}'", file.seed))?;
+        let options = Options::from_json(&file.settings);
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            limits: file.limits,
+            changelog: file.changelog,
+            known: file.known,
+            settings: options.settings(seed)?,
+            connections: options.connections()?,
+            names: options.protocol_names()?,
+        })
+    }
+}
--- /dev/null
+++ b/dispatcher/src/event_loop.rs
@@ -0,0 +1,336 @@
+//! The event loop: carries sockets, timers and signals to the reducer, and out what it asks for.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::reducer::{Due, Effect, Event, Peer, Reducer};
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bytes read from one connection in one turn, so that none holds up the others.
+const READ_AT_ONCE: usize = 256 * 1024;
+/// Connections accepted in one turn.
+const ACCEPTED_AT_ONCE: usize = 64;
+/// Without a descriptor for a client that waits, the listener rests for so long.
+const REST: Duration = Duration::from_millis(20);
+
+type Source = calloop::Dispatcher<'static, Generic<Rc<TcpStream>>, Inbox>;
+
+/// What one turn of the loop has found.
+#[derive(Default)]
+struct Inbox {
+    ready: Vec<(Peer, Readiness)>,
+    due: Vec<Due>,
+    accept: bool,
+    rested: bool,
+    terminate: bool,
+}
+
+/// A connection, and what it has still to write.
+struct Connection {
+    stream: Rc<TcpStream>,
+    source: Source,
+    token: RegistrationToken,
+    connecting: bool,
+    unwritten: Vec<u8>,
+    at: usize,
+    /// Bytes that have left in all.
+    left: u64,
+}
+
+struct Carrier {
+    handle: LoopHandle<'static, Inbox>,
+    clock: Clock,
+    reducer: Reducer,
+    connections: HashMap<Peer, Connection>,
+    /// Connections with something new to write.
+    dirty: Vec<Peer>,
+    last_client: u32,
+    stopped: bool,
+}
+
+/// Serves until told to end.
+pub fn serve(config: Config) -> Result<(), String> {
+    let said = |what: &'static str| move |fault: calloop::Error| format!("{what}: {fault}");
+    let listener = TcpListener::bind(config.listen).map_err(|fault| format!("{}: {fault}", config.listen))?;
+    listener.set_nonblocking(true).map_err(|fault| format!("{}: {fault}", config.listen))?;
+    let mut event_loop: EventLoop<'static, Inbox> = EventLoop::try_new().map_err(said("event loop"))?;
+    let handle = event_loop.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(said("signals"))?;
+    handle
+        .insert_source(signals, |_, _, inbox| inbox.terminate = true)
+        .map_err(|fault| said("signals")(fault.error))?;
+    let listener = Rc::new(listener);
+    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+    let listening = handle
+        .insert_source(source, |_, _, inbox| {
+            inbox.accept = true;
+            Ok(PostAction::Continue)
+        })
+        .map_err(|fault| said("listener")(fault.error))?;
+    let limits = config.limits;
+    log::info!(
+        "{} listens on {}, {} MB, {} descriptors",
+        config.name,
+        config.listen,
+        limits.memory_mb,
+        limits.sockets
+    );
+    let clock = Clock::start();
+    let reducer = Reducer::new(config, clock.epoch());
+    let mut carrier = Carrier {
+        handle,
+        clock,
+        reducer,
+        connections: HashMap::new(),
+        dirty: Vec::new(),
+        last_client: 0,
+        stopped: false,
+    };
+    let mut scratch = vec![0; READ_AT_ONCE];
+    let mut inbox = Inbox::default();
+    carrier.reduce(Event::Started);
+    while !carrier.stopped {
+        carrier.flush_all();
+        event_loop.dispatch(None, &mut inbox).map_err(said("event loop"))?;
+        if std::mem::take(&mut inbox.terminate) {
+            carrier.reduce(Event::Terminate);
+        }
+        for due in std::mem::take(&mut inbox.due) {
+            carrier.reduce(Event::Due(due));
+        }
+        for (peer, readiness) in std::mem::take(&mut inbox.ready) {
+            carrier.ready(peer, readiness, &mut scratch);
+        }
+        if std::mem::take(&mut inbox.rested) {
+            carrier.handle.enable(&listening).map_err(said("listener"))?;
+        }
+        if std::mem::take(&mut inbox.accept) && !carrier.accept(&listener) {
+            carrier.handle.disable(&listening).map_err(said("listener"))?;
+            let rest = Timer::from_duration(REST);
+            carrier.insert_timer(rest, |inbox| inbox.rested = true);
+        }
+    }
+    carrier.flush_all();
+    Ok(())
+}
+
+impl Carrier {
+    fn insert_timer(&self, timer: Timer, mut then: impl FnMut(&mut Inbox) + 'static) {
+        let inserted = self.handle.insert_source(timer, move |_, _, inbox| {
+            then(inbox);
+            TimeoutAction::Drop
+        });
+        if let Err(fault) = inserted {
+            log::error!("timer: {}", fault.error);
+        }
+    }
+
+    fn reduce(&mut self, event: Event<'_>) {
+        for effect in self.reducer.reduce(self.clock.now(), event) {
+            match effect {
+                Effect::Connect(peer, address) => self.connect(peer, address),
+                Effect::Write(peer, bytes) => self.write(peer, bytes),
+                Effect::Close(peer) => self.close(peer),
+                Effect::Arm(at, due) => {
+                    let timer = Timer::from_deadline(self.clock.instant(at));
+                    self.insert_timer(timer, move |inbox| inbox.due.push(due));
+                }
+                Effect::Exit => self.stopped = true,
+            }
+        }
+    }
+
+    // Connections.
+
+    /// Accepts what waits; tells whether there were descriptors for it.
+    fn accept(&mut self, listener: &TcpListener) -> bool {
+        for _ in 0..ACCEPTED_AT_ONCE {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    self.last_client += 1;
+                    let peer = Peer::Client(self.last_client);
+                    if self.insert(peer, stream, false) {
+                        self.reduce(Event::Accepted(self.last_client));
+                    }
+                }
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return true,
+                Err(fault)
+                    if matches!(fault.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(fault) => {
+                    log::warn!("accept: {fault}");
+                    self.reduce(Event::NoDescriptors);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    fn connect(&mut self, peer: Peer, address: SocketAddr) {
+        let begin = || -> io::Result<TcpStream> {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_nonblocking(true)?;
+            match socket.connect(&address.into()) {
+                // What is under way shows as writable later, or as an error.
+                Err(fault) if fault.raw_os_error() != Some(EINPROGRESS) => Err(fault),
+                _ => Ok(socket.into()),
+            }
+        };
+        let inserted = match begin() {
+            Ok(stream) => self.insert(peer, stream, true),
+            Err(fault) => {
+                log::debug!("connect {address}: {fault}");
+                false
+            }
+        };
+        if !inserted {
+            self.reduce(Event::Closed(peer));
+        }
+    }
+
+    fn insert(&mut self, peer: Peer, stream: TcpStream, connecting: bool) -> bool {
+        let interest = if connecting { Interest::WRITE } else { Interest::READ };
+        let prepared = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+        let stream = Rc::new(stream);
+        let generic = Generic::new(stream.clone(), interest, Mode::Level);
+        let source = Source::new(generic, move |readiness, _, inbox: &mut Inbox| {
+            inbox.ready.push((peer, readiness));
+            Ok(PostAction::Continue)
+        });
+        let registered = self.handle.register_dispatcher(source.clone());
+        match (prepared, registered) {
+            (Ok(()), Ok(token)) => {
+                let (unwritten, at, left) = (Vec::new(), 0, 0);
+                let connection = Connection { stream, source, token, connecting, unwritten, at, left };
+                self.connections.insert(peer, connection);
+                true
+            }
+            (prepared, registered) => {
+                log::error!("connection: {:?} {:?}", prepared.err(), registered.err());
+                false
+            }
+        }
+    }
+
+    fn close(&mut self, peer: Peer) {
+        if let Some(mut connection) = self.connections.remove(&peer) {
+            // What was given to it before goes out as far as it can at once.
+            let _ = connection.flush();
+            self.handle.remove(connection.token);
+        }
+    }
+
+    fn closed(&mut self, peer: Peer) {
+        self.close(peer);
+        self.reduce(Event::Closed(peer));
+    }
+
+    fn ready(&mut self, peer: Peer, readiness: Readiness, scratch: &mut [u8]) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        if connection.connecting {
+            match connection.stream.take_error() {
+                Ok(None) => {
+                    connection.connecting = false;
+                    self.set_interest(peer, Interest::READ);
+                    self.reduce(Event::Connected(peer));
+                }
+                _ => self.closed(peer),
+            }
+            return;
+        }
+        if readiness.writable {
+            self.flush(peer);
+        }
+        if readiness.readable || readiness.error {
+            self.read(peer, scratch);
+        }
+    }
+
+    /// Reads once: what is left shows in the next turn.
+    fn read(&mut self, peer: Peer, scratch: &mut [u8]) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        match (&*connection.stream).read(scratch) {
+            Ok(0) => self.closed(peer),
+            Ok(count) => self.reduce(Event::Received(peer, &scratch[..count])),
+            Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => self.closed(peer),
+        }
+    }
+
+    fn write(&mut self, peer: Peer, bytes: Vec<u8>) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        match connection.unwritten.is_empty() {
+            true => connection.unwritten = bytes,
+            false => connection.unwritten.extend_from_slice(&bytes),
+        }
+        self.dirty.push(peer);
+    }
+
+    /// Writes what has gathered in this turn; what leaves may bring more to write.
+    fn flush_all(&mut self) {
+        while let Some(peer) = self.dirty.pop() {
+            self.flush(peer);
+        }
+    }
+
+    fn flush(&mut self, peer: Peer) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        if connection.connecting || connection.unwritten.is_empty() {
+            return;
+        }
+        let before = connection.left;
+        let flushed = connection.flush();
+        let (left, done) = (connection.left, connection.unwritten.is_empty());
+        match flushed {
+            Err(_) => return self.closed(peer),
+            Ok(()) => self.set_interest(peer, if done { Interest::READ } else { Interest::BOTH }),
+        }
+        if left > before {
+            self.reduce(Event::Written(peer, left));
+        }
+    }
+
+    fn set_interest(&mut self, peer: Peer, interest: Interest) {
+        let Some(connection) = self.connections.get(&peer) else { return };
+        let mut source = connection.source.as_source_mut();
+        if (source.interest.readable, source.interest.writable) == (interest.readable, interest.writable) {
+            return;
+        }
+        source.interest = interest;
+        drop(source);
+        if let Err(fault) = self.handle.update(&connection.token) {
+            log::error!("connection: {fault}");
+        }
+    }
+}
+
+/// A connection that is under way reports this (the number is Linux's).
+const EINPROGRESS: i32 = 115;
+
+impl Connection {
+    /// Writes as much as goes.
+    fn flush(&mut self) -> io::Result<()> {
+        while self.at < self.unwritten.len() {
+            match (&*self.stream).write(&self.unwritten[self.at..]) {
+                Ok(count) => {
+                    self.at += count;
+                    self.left += count as u64;
+                }
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(fault) => return Err(fault),
+            }
+        }
+        self.unwritten = Vec::new();
+        self.at = 0;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/dispatcher/src/lib.rs
@@ -0,0 +1,12 @@
+//! The dispatcher on sockets: one reducer makes every state change and calls the decisions; the event loop
+//! carries sockets, timers and signals to it and carries out the effects that it asks for.
+
+pub mod changes;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod desk;
+pub mod event_loop;
+pub mod nodes;
+pub mod phases;
+pub mod reducer;
--- /dev/null
+++ b/dispatcher/src/reducer.rs
@@ -0,0 +1,417 @@
+//! The reducer: every state change happens here, in answer to an event. What is to be read, written,
+//! connected or timed comes out as effects, which the event loop carries out.
+
+use crate::changes::{ChangeLog, SILENT_AFTER};
+use crate::clients::Client;
+use crate::clock::Epoch;
+use crate::config::Config;
+use crate::desk::Desk;
+use crate::nodes::Pool;
+use crate::phases::{Life, Phase};
+use copperroute::chance::Chance;
+use copperroute::decide::Dispatcher;
+use copperroute::interface::{DlId, Download, Nanos, NodeEntry, Readiness, TypeId, ZoneId, mix, stable_hash};
+use copperroute_protocol::changes::{Change, Fleet, Line, Listed, Purge, encode_since};
+use copperroute_protocol::clients::{Answer, Message, Request};
+use std::net::SocketAddr;
+
+/// After the signal to end nothing new comes any more once this is over.
+const LAST_REQUESTS: Nanos = Nanos(750_000_000);
+/// After the signal to end all must be answered by then.
+const DRAINED_BY: Nanos = Nanos(3_500_000_000);
+const SWEEP: Nanos = Nanos(1_000_000_000);
+/// The change log is connected to anew after so long, and up to as long again.
+const RECONNECT: Nanos = Nanos(100_000_000);
+
+/// The other end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Peer {
+    /// A client, by the number of its connection.
+    Client(u32),
+    /// A node, likewise.
+    Node(u32),
+    /// The change log, likewise.
+    ChangeLog(u32),
+}
+
+/// What a timer is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Due {
+    /// The module's own, with its token.
+    Module(u64),
+    /// A download expires.
+    Expiry(DlId, u64),
+    /// A connection to a node should have come up.
+    Connect(u32),
+    /// The change log is to be connected to.
+    ChangeLog,
+    /// Connections and phases are looked after.
+    Sweep,
+    /// Nothing new can come any more.
+    LastRequests,
+    /// What is still open must be answered now.
+    Drained,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum Event<'a> {
+    /// The program has started.
+    Started,
+    /// A client has connected.
+    Accepted(u32),
+    /// A connection asked for has come up.
+    Connected(Peer),
+    /// Bytes have come.
+    Received(Peer, &'a [u8]),
+    /// So many bytes in all have left.
+    Written(Peer, u64),
+    /// A connection has ended, or could not be made.
+    Closed(Peer),
+    /// The time has come.
+    Due(Due),
+    /// The program is to end.
+    Terminate,
+    /// No descriptor is left for a client that waits.
+    NoDescriptors,
+}
+
+/// What the event loop is asked for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Connect.
+    Connect(Peer, SocketAddr),
+    /// Write these bytes behind those before.
+    Write(Peer, Vec<u8>),
+    /// Close, whatever is unwritten.
+    Close(Peer),
+    /// Report when this time has come.
+    Arm(Nanos, Due),
+    /// End the program.
+    Exit,
+}
+
+/// The dispatcher's whole state.
+pub struct Reducer {
+    life: Life,
+    module: Dispatcher,
+    desk: Desk,
+    log: ChangeLog,
+    log_address: SocketAddr,
+    known: Vec<Change>,
+    epoch: Epoch,
+    chance: Chance,
+    /// Nothing new can come any more.
+    last_requests: bool,
+}
+
+impl Reducer {
+    /// A dispatcher that has not started.
+    pub fn new(config: Config, epoch: Epoch) -> Self {
+        Reducer {
+            life: Life::default(),
+            chance: Chance::new(config.settings.seed.rotate_left(32)),
+            module: Dispatcher::new(config.settings),
+            desk: Desk::new(config.names, config.connections),
+            log: ChangeLog { applied: config.known.seq, ..ChangeLog::default() },
+            log_address: config.changelog,
+            known: config.known.results,
+            epoch,
+            last_requests: false,
+        }
+    }
+
+    /// Changes the state as the event asks, and returns what is to be done.
+    pub fn reduce(&mut self, now: Nanos, event: Event<'_>) -> Vec<Effect> {
+        self.desk.now = now;
+        match event {
+            Event::Started => self.start(now),
+            Event::Accepted(number) => {
+                self.desk.clients.insert(number, Client::default());
+            }
+            Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
+            Event::Connected(Peer::ChangeLog(number)) if self.log.connection == number => {
+                self.log.heard = now;
+                let since = encode_since(self.log.applied);
+                self.desk.effects.push(Effect::Write(Peer::ChangeLog(number), since));
+            }
+            Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
+            Event::Received(Peer::Node(number), bytes) => self.desk.node_received(number, bytes),
+            Event::Received(Peer::ChangeLog(number), bytes) => self.log_received(now, number, bytes),
+            Event::Written(Peer::Client(number), total) => {
+                if let Some(client) = self.desk.clients.get_mut(&number) {
+                    client.written = total;
+                }
+            }
+            Event::Written(Peer::Node(number), total) => self.desk.node_written(number, total),
+            Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
+            Event::Closed(Peer::Node(number)) => self.desk.node_closed(number),
+            Event::Closed(Peer::ChangeLog(number)) => self.log_closed(now, number),
+            Event::Due(due) => self.due(now, due),
+            Event::Terminate => {
+                if self.life.move_to(Phase::Draining) {
+                    let armed = [(LAST_REQUESTS, Due::LastRequests), (DRAINED_BY, Due::Drained)];
+                    self.desk.effects.extend(armed.map(|(span, due)| Effect::Arm(now.after(span), due)));
+                }
+            }
+            Event::NoDescriptors => self.close_idle_clients(),
+            Event::Connected(_) | Event::Written(..) => {}
+        }
+        self.hand_on_ends(now);
+        let unsent = || self.desk.clients.values().any(|client| client.queued > client.written);
+        if self.life.phase() == Phase::Draining && self.last_requests && self.desk.owed == 0 && !unsent() {
+            self.life.move_to(Phase::Stopped);
+            self.desk.effects.push(Effect::Exit);
+        }
+        std::mem::take(&mut self.desk.effects)
+    }
+
+    /// Pulls that have ended reach the module one by one, with what it does of it.
+    fn hand_on_ends(&mut self, now: Nanos) {
+        while let Some((pull, end)) = self.desk.ended.pop_front() {
+            self.module.pull_ended(now, pull.dl, pull.number, &end, &mut self.desk);
+        }
+    }
+
+    fn start(&mut self, now: Nanos) {
+        self.module.start(now, &mut self.desk);
+        for change in std::mem::take(&mut self.known) {
+            self.apply(now, &change);
+        }
+        self.connect_log();
+        self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
+    }
+
+    fn due(&mut self, now: Nanos, due: Due) {
+        match due {
+            Due::Module(token) => self.module.timer(now, token, &mut self.desk),
+            Due::Expiry(dl, serial) => self.expire(now, dl, serial),
+            Due::Connect(number) if self.desk.is_connecting(number) => self.desk.node_closed(number),
+            Due::Connect(_) => {}
+            Due::ChangeLog => self.connect_log(),
+            Due::Sweep => {
+                self.desk.sweep();
+                if self.log.open && now.since(self.log.heard) > SILENT_AFTER && self.log.heard > Nanos::ZERO {
+                    log::warn!("change log: silent");
+                    self.log_closed(now, self.log.connection);
+                }
+                self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
+            }
+            Due::LastRequests => self.last_requests = true,
+            Due::Drained => {
+                for (dl, serial) in self.desk.all_owed() {
+                    self.expire(now, dl, serial);
+                }
+            }
+        }
+    }
+
+    /// The client's time is up: the module hears that its pulls ended unanswered, and answers.
+    fn expire(&mut self, now: Nanos, dl: DlId, serial: u64) {
+        if !self.desk.is_owed(dl, serial) {
+            return;
+        }
+        self.desk.expire(dl);
+        self.hand_on_ends(now);
+        if self.desk.is_owed(dl, serial) {
+            self.desk.abandon_unheard(dl);
+            self.module.client_gone(now, dl, &mut self.desk);
+        }
+    }
+
+    // Clients.
+
+    fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
+        let Some(client) = self.desk.clients.get_mut(&number) else { return };
+        client.decoder.feed(bytes);
+        while let Some(client) = self.desk.clients.get_mut(&number) {
+            match client.decoder.next_message() {
+                Ok(None) => return,
+                Ok(Some(Message::Request(tag, _))) if client.open.contains_key(&tag) => {
+                    log::warn!("client: tag {tag} is open already");
+                    return self.close_client(now, number);
+                }
+                Ok(Some(Message::Request(tag, request))) => self.download(now, number, tag, *request),
+                Ok(Some(Message::Unusable(tag, why))) => {
+                    log::warn!("client: {why}");
+                    self.desk.write_client(number, tag, Answer::Abandoned);
+                }
+                Ok(Some(Message::Abort(tag))) => {
+                    let dl = client.open.get(&tag).copied();
+                    dl.into_iter().for_each(|dl| self.forsake(now, dl));
+                }
+                Ok(Some(Message::Health(tag))) => {
+                    let up = self.life.phase() == Phase::Serving;
+                    self.desk.write_client(number, tag, if up { Answer::Up } else { Answer::Down });
+                }
+                Err(fault) => {
+                    log::warn!("client: {fault}");
+                    return self.close_client(now, number);
+                }
+            }
+            // What the module has ended at once must be heard before the next download is decided.
+            self.hand_on_ends(now);
+        }
+    }
+
+    fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
+        let content_type =
+            self.desk.names.content_types.iter().position(|name| *name == request.content_type);
+        let Some(content_type) = content_type else {
+            log::warn!("client: no content type '{}'", request.content_type.escape_default());
+            return self.desk.write_client(client, tag, Answer::Abandoned);
+        };
+        let object_hash = stable_hash(request.object.as_bytes());
+        let (part, group) = (request.part, request.group);
+        let (repeat, size_kb) = (request.repeat, request.size_kb);
+        let (dl, object, expires) = self.desk.open(client, tag, request);
+        let download = Download {
+            dl,
+            content_type: TypeId(content_type as u32),
+            object,
+            copy_hash: mix(object_hash.wrapping_add(part)),
+            object_hash,
+            group,
+            expires,
+            repeat,
+            size_kb,
+        };
+        self.module.download(now, &download, &mut self.desk);
+    }
+
+    fn forsake(&mut self, now: Nanos, dl: DlId) {
+        if self.desk.forsake(dl) {
+            self.module.client_gone(now, dl, &mut self.desk);
+            self.hand_on_ends(now);
+        }
+    }
+
+    fn client_closed(&mut self, now: Nanos, number: u32) {
+        let Some(client) = self.desk.clients.remove(&number) else { return };
+        self.desk.effects.push(Effect::Close(Peer::Client(number)));
+        let mut open: Vec<_> = client.open.into_values().collect();
+        open.sort_by_key(|dl| dl.0);
+        open.into_iter().for_each(|dl| self.forsake(now, dl));
+    }
+
+    fn close_client(&mut self, now: Nanos, number: u32) {
+        self.client_closed(now, number);
+    }
+
+    fn close_idle_clients(&mut self) {
+        let idle = self.desk.clients.iter().filter(|(_, client)| client.is_idle());
+        let mut idle: Vec<_> = idle.map(|(number, _)| *number).collect();
+        idle.sort();
+        for number in idle.into_iter().take(8) {
+            self.desk.clients.remove(&number);
+            self.desk.effects.push(Effect::Close(Peer::Client(number)));
+        }
+    }
+
+    // The change log.
+
+    fn connect_log(&mut self) {
+        if !self.log.open {
+            self.log.connection += 1;
+            self.log.open = true;
+            self.log.heard = self.desk.now;
+            self.log.decoder = Default::default();
+            self.desk.effects.push(Effect::Connect(Peer::ChangeLog(self.log.connection), self.log_address));
+        }
+    }
+
+    fn log_closed(&mut self, now: Nanos, number: u32) {
+        if !self.log.open || self.log.connection != number {
+            return;
+        }
+        self.log.open = false;
+        let wait = RECONNECT.after(Nanos::from_secs(RECONNECT.secs() * self.chance.share()));
+        self.desk.effects.push(Effect::Close(Peer::ChangeLog(number)));
+        self.desk.effects.push(Effect::Arm(now.after(wait), Due::ChangeLog));
+    }
+
+    fn log_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
+        if !self.log.open || self.log.connection != number {
+            return;
+        }
+        self.log.heard = now;
+        self.log.decoder.feed(bytes);
+        loop {
+            match self.log.decoder.next_line() {
+                Ok(None) => return,
+                Ok(Some(Line::Change(change))) if change.seq <= self.log.applied => {}
+                Ok(Some(Line::Change(change))) => {
+                    self.log.applied = change.seq;
+                    self.apply(now, &change);
+                }
+                Ok(Some(Line::Last(last))) if last > self.log.applied => {
+                    log::warn!("change log: at {last}, applied {}", self.log.applied);
+                    return self.log_closed(now, number);
+                }
+                Ok(Some(Line::Last(_))) => {}
+                Err(fault) => {
+                    log::warn!("{fault}");
+                    return self.log_closed(now, number);
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Nanos, change: &Change) {
+        if let Some(fleet) = &change.fleet {
+            self.list(now, fleet);
+        }
+        if let Some(Purge { object, bucket, time }) = &change.invalidate {
+            let age = now.since(self.epoch.time(*time));
+            match (object, bucket) {
+                (Some(object), _) => {
+                    self.module.object_purged(now, stable_hash(object.as_bytes()), age, &mut self.desk)
+                }
+                (None, Some(group)) => self.module.group_purged(now, *group, age, &mut self.desk),
+                (None, None) => log::warn!("change log: a purge of nothing"),
+            }
+        }
+    }
+
+    fn list(&mut self, now: Nanos, fleet: &Fleet) {
+        let entries: Vec<_> = fleet.servers.iter().map(|listed| self.entry(listed)).collect();
+        let named: Vec<_> = entries.iter().map(|entry| entry.node).collect();
+        let mut withdrawn: Vec<_> = entries
+            .iter()
+            .filter(|entry| entry.readiness != Readiness::Ready)
+            .map(|entry| (entry.node, entry.readiness))
+            .collect();
+        if fleet.full {
+            withdrawn.extend(self.desk.unlisted(&named).into_iter().map(|node| (node, Readiness::Gone)));
+            self.module.nodes_listed(now, &entries, &mut self.desk);
+        } else {
+            self.module.nodes_changed(now, &entries, &mut self.desk);
+        }
+        // The module knows first, so that what is dropped here goes elsewhere.
+        for (node, readiness) in withdrawn {
+            self.desk.withdraw(node, readiness);
+        }
+        self.hand_on_ends(now);
+        self.life.move_to(Phase::Serving);
+    }
+
+    fn entry(&mut self, listed: &Listed) -> NodeEntry {
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|known| known == name).map_or(u32::MAX, |at| at as u32)
+        };
+        let readiness = listed.state.into();
+        let started_ms = listed.started_ms.filter(|ms| *ms > 0);
+        let started = started_ms.map_or(Nanos::ZERO, |ms| self.epoch.time(ms));
+        let pool = Pool { address: listed.addr, started, readiness, connections: Vec::new() };
+        NodeEntry {
+            node: self.desk.list(&listed.id, pool),
+            hash: stable_hash(listed.id.as_bytes()),
+            zone: ZoneId(place(&self.desk.names.zones, &listed.zone)),
+            kind: place(&self.desk.names.kinds, &listed.kind),
+            cell: listed.cell.unwrap_or(0),
+            readiness,
+            weight: listed.weight.unwrap_or(1.0),
+            started,
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/changes.rs
@@ -0,0 +1,127 @@
+//! The change log: one JSON value a line, and the events that the configuration holds from before.
+
+use crate::incoming::{Incoming, Unreadable};
+use copperroute::interface::Readiness;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+const LONGEST_LINE: usize = 4 * 1024 * 1024;
+
+/// A node as the change log lists it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Listed {
+    /// Its id.
+    pub id: String,
+    /// Where it listens; one that has gone may have none.
+    pub addr: Option<SocketAddr>,
+    /// The name of its location or hub.
+    #[serde(default)]
+    pub zone: String,
+    /// The name of its machine kind.
+    #[serde(default)]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: Option<u32>,
+    /// Whether it takes work.
+    pub state: State,
+    /// Its size in relation to others.
+    #[serde(default)]
+    pub weight: Option<f64>,
+    /// The Unix millisecond of a late start, or 0.
+    #[serde(default)]
+    pub started_ms: Option<u64>,
+}
+
+/// The states of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    Active,
+    Leaving,
+    Left,
+}
+
+impl From<State> for Readiness {
+    fn from(state: State) -> Self {
+        match state {
+            State::Active => Readiness::Ready,
+            State::Leaving => Readiness::Draining,
+            State::Left => Readiness::Gone,
+        }
+    }
+}
+
+/// News of the list of nodes.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Fleet {
+    /// The whole list: what is not in it has gone.
+    #[serde(default)]
+    pub full: bool,
+    /// The nodes that it tells of.
+    pub servers: Vec<Listed>,
+}
+
+/// A purge of an object or a group.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Purge {
+    /// The object, with all its parts.
+    pub object: Option<String>,
+    /// The group.
+    pub bucket: Option<u64>,
+    /// The Unix millisecond of the purge.
+    pub time: u64,
+}
+
+/// A numbered event. One of a kind that is not known counts and changes nothing.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Change {
+    /// Its number.
+    pub seq: u64,
+    /// News of the list of nodes.
+    pub fleet: Option<Fleet>,
+    /// A purge.
+    pub invalidate: Option<Purge>,
+}
+
+/// The events up to the start.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+pub struct Known {
+    /// The number of the last.
+    pub seq: u64,
+    /// The events.
+    pub results: Vec<Change>,
+}
+
+/// A line of the change log.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(untagged)]
+pub enum Line {
+    /// The last number, once a second.
+    Last(u64),
+    /// An event.
+    Change(Box<Change>),
+}
+
+/// The line that asks for all that follows the event with this number.
+pub fn encode_since(last: u64) -> Vec<u8> {
+    format!("since {last}\n").into_bytes()
+}
+
+/// Decodes the change log.
+#[derive(Debug, Default)]
+pub struct Decoder(Incoming);
+
+impl Decoder {
+    /// Takes bytes as they came.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.0.feed(bytes);
+    }
+
+    /// The next whole line; an error means that no more can be read here.
+    pub fn next_line(&mut self) -> Result<Option<Line>, Unreadable> {
+        let Some(line) = self.0.line(LONGEST_LINE)? else { return Ok(None) };
+        let read = serde_json::from_str(&line);
+        read.map(Some).map_err(|fault| Unreadable(format!("a bad line of the change log: {fault}")))
+    }
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,27 +1,97 @@
-//! The wire's start-up settings in the words of the interface.
+//! The settings that a dispatcher is started with, in the words of the interface: read from `path=value`
+//! pairs, or from nested JSON that is flattened to the same paths.
 
 use copperroute::interface::{ColdStart, ContentType, DedupScope, Nanos, Repeat, Settings, ZoneId};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::str::FromStr;
 
-/// The `path=value` pairs of a `begin` line.
-pub struct Options<'a>(HashMap<&'a str, &'a str>);
+/// Values by their paths.
+#[derive(Debug, Clone, Default)]
+pub struct Options(HashMap<String, String>);
 
-type Read<T> = Result<T, String>;
+/// A value, or one line on what was expected.
+pub type Read<T> = Result<T, String>;
 
-impl<'a> Options<'a> {
-    pub fn new(fields: &[&'a str]) -> Read<Self> {
+/// What connections to nodes are held to.
+#[derive(Debug, Clone, Copy)]
+pub struct Connections {
+    /// A connection not made by then never comes.
+    pub connect_timeout: Nanos,
+    /// Pulls that one connection carries at once.
+    pub streams: usize,
+    /// The other side closes a connection that carried nothing for so long; zero if not told.
+    pub idle: Nanos,
+}
+
+/// Names that the protocol uses where the module has indices.
+#[derive(Debug, Clone)]
+pub struct Names {
+    /// Content types.
+    pub content_types: Vec<String>,
+    /// Locations and hubs.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+}
+
+/// A plain value as the wire writes it.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.replace([' ', ','], "_"),
+        other => other.to_string(),
+    }
+}
+
+impl Options {
+    /// From `path=value` pairs.
+    pub fn from_pairs(fields: &[&str]) -> Read<Self> {
         let mut pairs = HashMap::new();
         for field in fields {
             let (path, value) =
                 field.split_once('=').ok_or_else(|| format!("options: '{field}' is not path=value"))?;
-            pairs.insert(path, value);
+            pairs.insert(path.to_string(), value.to_string());
         }
         Ok(Options(pairs))
     }
 
-    fn text(&self, path: &str) -> Read<&'a str> {
-        self.0.get(path).copied().ok_or_else(|| format!("options: {path} is missing"))
+    /// From nested JSON.
+    pub fn from_json(value: &Value) -> Self {
+        let mut options = Options::default();
+        options.flatten("", value);
+        options
+    }
+
+    fn flatten(&mut self, path: &str, value: &Value) {
+        let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+        match value {
+            Value::Object(fields) => {
+                fields.iter().for_each(|(name, value)| self.flatten(&below(name), value))
+            }
+            Value::Array(items) if items.iter().any(|item| item.is_object() || item.is_array()) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(at, item)| self.flatten(&below(&at.to_string()), item));
+            }
+            Value::Array(items) => {
+                self.0.insert(path.to_string(), items.iter().map(plain).collect::<Vec<_>>().join(","));
+            }
+            value => {
+                self.0.insert(path.to_string(), plain(value));
+            }
+        }
+    }
+
+    fn raw(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(String::as_str)
+    }
+
+    fn text(&self, path: &str) -> Read<&str> {
+        self.raw(path).ok_or_else(|| format!("options: {path} is missing"))
+    }
+
+    fn names(&self, path: &str) -> Vec<String> {
+        self.raw(path).unwrap_or_default().split(',').map(str::to_string).collect()
     }
 
     fn number<T: FromStr>(&self, path: &str) -> Read<T> {
@@ -30,7 +100,7 @@
     }
 
     fn number_or<T: FromStr>(&self, path: &str, absent: T) -> Read<T> {
-        if self.0.contains_key(path) { self.number(path) } else { Ok(absent) }
+        if self.raw(path).is_some() { self.number(path) } else { Ok(absent) }
     }
 
     fn span(&self, path: &str) -> Read<Nanos> {
@@ -42,7 +112,7 @@
     }
 
     fn flag(&self, path: &str) -> Read<bool> {
-        match self.0.get(path).copied() {
+        match self.raw(path) {
             None | Some("false" | "0") => Ok(false),
             Some("true" | "1") => Ok(true),
             Some(other) => Err(format!("options: {path}: expected true or false, found '{other}'")),
@@ -50,8 +120,8 @@
     }
 
     /// Place `at` of a list of plain values; nothing if the list is absent or shorter.
-    fn listed(&self, path: &str, at: usize) -> Option<&'a str> {
-        self.0.get(path)?.split(',').nth(at)
+    fn listed(&self, path: &str, at: usize) -> Option<&str> {
+        self.raw(path)?.split(',').nth(at)
     }
 
     fn listed_number<T: FromStr>(&self, path: &str, at: usize, absent: T) -> Read<T> {
@@ -69,7 +139,7 @@
 
     fn content_type(&self, at: usize) -> Read<ContentType> {
         let path = |name: &str| format!("services.{at}.{name}");
-        let scope = match self.0.get(path("dedup_scope").as_str()).copied() {
+        let scope = match self.raw(&path("dedup_scope")) {
             Some("cell") => DedupScope::Cell,
             Some("zone") => DedupScope::Zone,
             _ => DedupScope::All,
@@ -105,7 +175,7 @@
             origin_kind: self.kind("family_info.root_kind")?,
             direct: self.flag("family_info.pass_through_ok")?,
             joins: self.flag("family_info.shares_fills")?,
-            fills_told: self.0.get("family_info.detail").copied() == Some("all"),
+            fills_told: self.raw("family_info.detail") == Some("all"),
             client_kb_per_s: self.number_or("family_info.client_kb_per_s", 0.0)?,
             link_kb_per_s: self.listed_number("family_info.pipe_kb_per_s", zone as usize, 0.0)?,
             purge_done: self.span_or_zero("family_info.purge_done_s")?,
@@ -122,11 +192,54 @@
             },
             fall_for: self.span("rules.overload_for_s")?,
             origin_stop_multiple: self.number_or("family_info.origin_stops_at", 0.0)?,
-            list_is_asked: self.0.get("discovery").copied() == Some("subscribe"),
+            list_is_asked: self.raw("discovery") == Some("subscribe"),
             cancel: self.flag("limits.cancel")?,
             come_back: self.flag("limits.retry_after")?,
             max_come_back: self.span_or_zero("limits.max_retry_after_s")?,
             max_pulls: self.number("limits.max_attempts")?,
         })
     }
+    /// What connections to nodes are held to.
+    pub fn connections(&self) -> Read<Connections> {
+        Ok(Connections {
+            connect_timeout: self.span("limits.connect_timeout_s")?,
+            streams: self.number("limits.streams_per_conn")?,
+            idle: self.span_or_zero("limits.conn_idle_s")?,
+        })
+    }
+
+    /// The names that the protocol uses.
+    pub fn protocol_names(&self) -> Read<Names> {
+        let types: usize = self.number("services.count")?;
+        let name = |at: usize| self.text(&format!("services.{at}.name")).map(str::to_string);
+        Ok(Names {
+            content_types: (0..types).map(name).collect::<Read<_>>()?,
+            zones: self.names("localities"),
+            kinds: self.names("flavors"),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Options;
+    use expect_test::expect;
+
+    #[test]
+    fn json_is_flattened_to_the_paths_of_the_wire() {
+        let text = r#"{"a":{"b":1.5,"c":true},"flavors":["x, y","z"],"services":[{"name":"n"},{"name":"m"}],"e":[]}"#;
+        let options = Options::from_json(&serde_json::from_str(text).expect("valid JSON"));
+        let mut pairs: Vec<_> = options.0.into_iter().collect();
+        pairs.sort();
+        expect![[r#"
+            a.b=1.5
+            a.c=true
+            e=
+            flavors=x__y,z
+            services.0.name=n
+            services.1.name=m
+            services.count=2
+        "#]]
+        .assert_eq(&pairs.iter().map(|(path, value)| format!("{path}={value}\n")).collect::<String>());
+    }
 }
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,56 @@
+//! Outside ids mapped to small indices: slots that are handed out lowest first and used again once released.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+/// The slots of one kind of id.
+#[derive(Debug, Clone)]
+pub struct Ids<K> {
+    slot_by_key: HashMap<K, u32>,
+    keys: Vec<K>,
+    free: Vec<u32>,
+}
+
+impl<K> Default for Ids<K> {
+    fn default() -> Self {
+        Ids { slot_by_key: HashMap::new(), keys: Vec::new(), free: Vec::new() }
+    }
+}
+
+impl<K: Clone + Eq + Hash> Ids<K> {
+    /// The slot of a key, new or known.
+    pub fn open(&mut self, key: K) -> u32 {
+        if let Some(slot) = self.slot_by_key.get(&key) {
+            return *slot;
+        }
+        let slot = self.free.pop().unwrap_or(self.keys.len() as u32);
+        match self.keys.get_mut(slot as usize) {
+            Some(old) => *old = key.clone(),
+            None => self.keys.push(key.clone()),
+        }
+        self.slot_by_key.insert(key, slot);
+        slot
+    }
+
+    /// The slot of a key, if it is still held.
+    pub fn held(&self, key: &K) -> Option<u32> {
+        self.slot_by_key.get(key).copied()
+    }
+
+    /// The key that a slot was last given to.
+    pub fn key(&self, slot: u32) -> &K {
+        &self.keys[slot as usize]
+    }
+
+    /// How many slots there are.
+    pub fn count(&self) -> u32 {
+        self.keys.len() as u32
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, slot: u32) {
+        if self.slot_by_key.remove(&self.keys[slot as usize]).is_some() {
+            self.free.push(slot);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod chance;
 pub mod decide;
+pub mod ids;
 pub mod interface;
 pub mod purges;
 pub mod recent;
