--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -14,11 +14,18 @@
     /// Bytes given to the connection, and those that have left.
     pub queued: u64,
     pub written: u64,
+    /// It reads so slowly that it is not read from either.
+    pub held_back: bool,
 }
 
 impl Client {
+    /// Bytes that have not left.
+    pub fn unsent(&self) -> u64 {
+        self.queued.saturating_sub(self.written)
+    }
+
     /// Whether nothing is owed on it.
     pub fn is_idle(&self) -> bool {
-        self.open.is_empty() && self.queued == self.written
+        self.open.is_empty() && self.unsent() == 0
     }
 }
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -67,7 +67,8 @@
 
     /// The same from the text of a file.
     pub fn parse(text: &str) -> Result<Config, String> {
-        let file: File = serde_json::from_str(text).map_err(|fault| fault.to_string())?;
+        let read = &mut serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(read).map_err(|fault| fault.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("seed: expected hex digits, found '{}'", file.seed))?;
         let options = Options::from_json(&file.settings);
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -20,6 +20,11 @@
 /// Bytes of pulls handed to a connection at once; what waits longer can still be dropped unsent.
 const GATHERED: usize = 16 * 1024;
 
+/// A client with more unsent than this is not read from until half of it has left.
+const UNSENT: u64 = 512 * 1024;
+/// Of the memory, what may wait for clients; with more, nodes are not read from until half of it has left.
+const UNSENT_PART: u64 = 4;
+
 /// A pull of a download in hand.
 #[derive(Debug, Clone, Copy)]
 struct HeldPull {
@@ -48,8 +53,12 @@
     pub names: Names,
     limits: Connections,
     pub clients: HashMap<u32, Client>,
-    /// Downloads whose answer is owed, and bytes for clients that have not left.
+    /// Downloads whose answer is owed.
     pub owed: usize,
+    /// Bytes for clients that have not left, how many there may be, and whether nodes wait for that.
+    pub unsent: u64,
+    most_unsent: u64,
+    held_back: bool,
     dls: Ids<u64>,
     held: Slots<Held>,
     serial: u64,
@@ -65,13 +74,16 @@
 
 impl Desk {
     /// An empty desk.
-    pub fn new(names: Names, limits: Connections) -> Self {
+    pub fn new(names: Names, limits: Connections, memory_mb: u64) -> Self {
         Desk {
             now: Nanos::ZERO,
             names,
             limits,
             clients: HashMap::new(),
             owed: 0,
+            unsent: 0,
+            most_unsent: memory_mb * 1024 * 1024 / UNSENT_PART,
+            held_back: false,
             dls: Ids::default(),
             held: Slots::default(),
             serial: 0,
@@ -108,8 +120,55 @@
         if let Some(open) = self.clients.get_mut(&client) {
             let bytes = clients::encode(tag, answer);
             open.queued += bytes.len() as u64;
+            self.unsent += bytes.len() as u64;
             self.effects.push(Effect::Write(Peer::Client(client), bytes));
+            if open.unsent() > UNSENT && !open.held_back {
+                open.held_back = true;
+                self.effects.push(Effect::Read(Peer::Client(client), false));
+            }
+        }
+        self.hold_nodes_back();
+    }
+
+    /// Bytes for a client have left.
+    pub fn client_written(&mut self, number: u32, total: u64) {
+        if let Some(client) = self.clients.get_mut(&number) {
+            self.unsent -= total.saturating_sub(client.written);
+            client.written = total;
+            if client.held_back && client.unsent() <= UNSENT / 2 {
+                client.held_back = false;
+                self.effects.push(Effect::Read(Peer::Client(number), true));
+            }
         }
+        self.hold_nodes_back();
+    }
+
+    /// A client's connection ends, with what was unsent and open on it.
+    pub fn remove_client(&mut self, number: u32) -> Vec<DlId> {
+        let Some(client) = self.clients.remove(&number) else { return Vec::new() };
+        self.unsent -= client.unsent();
+        self.effects.push(Effect::Close(Peer::Client(number)));
+        self.hold_nodes_back();
+        let mut open: Vec<_> = client.open.into_values().collect();
+        open.sort_by_key(|dl| dl.0);
+        open
+    }
+
+    /// While clients take too little, nodes are not read from: what they hold back costs no memory here.
+    fn hold_nodes_back(&mut self) {
+        let most = if self.held_back { self.most_unsent / 2 } else { self.most_unsent };
+        if self.held_back == (self.unsent > most) {
+            return;
+        }
+        self.held_back = !self.held_back;
+        log::warn!(
+            "clients take too little: nodes are {}read from",
+            if self.held_back { "not " } else { "" }
+        );
+        let mut numbers: Vec<_> = self.connections.keys().copied().collect();
+        numbers.sort();
+        let read = |number| Effect::Read(Peer::Node(number), !self.held_back);
+        self.effects.extend(numbers.into_iter().map(read));
     }
 
     /// The final answer of a download, once.
@@ -186,17 +245,20 @@
     }
 
     /// Gives up a pull: unsent it is dropped, else the node is told.
-    fn give_up(&mut self, pull: PullRef, outcome: Outcome) {
+    fn give_up(&mut self, pull: PullRef, mut outcome: Outcome) {
         let Some(held) = self.held.get(pull.dl.0) else { return };
         let Some(number) = held.pulls.get(pull.number as usize).and_then(|p| p.connection) else { return };
         if let Some(connection) = self.connections.get_mut(&number) {
             if let Some(at) = connection.waiting.iter().position(|waiting| *waiting == pull) {
                 connection.waiting.remove(at);
+                if outcome == Outcome::TimedOut {
+                    outcome = Outcome::NotSent;
+                }
             } else if let Some(written) = connection.out.get_mut(&held.request.id) {
                 written.pull = None;
                 connection.live -= 1;
-                // Silent since then: what else goes there might wait as long.
-                connection.retired |= connection.heard <= written.at;
+                // Silent though somebody waits: what else goes there might wait as long.
+                connection.retired |= held.owed && connection.heard <= written.at;
                 let mut bytes = Vec::new();
                 nodes::encode_abort(&held.request.id, &mut bytes);
                 connection.queued += bytes.len() as u64;
@@ -283,6 +345,9 @@
         if let Some(connection) = self.connections.get_mut(&number) {
             connection.up = true;
             connection.heard = self.now;
+            if self.held_back {
+                self.effects.push(Effect::Read(Peer::Node(number), false));
+            }
         }
         self.pump(number);
     }
--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -39,6 +39,8 @@
     source: Source,
     token: RegistrationToken,
     connecting: bool,
+    /// Its bytes are wanted.
+    reads: bool,
     unwritten: Vec<u8>,
     at: usize,
     /// Bytes that have left in all.
@@ -138,6 +140,12 @@
             match effect {
                 Effect::Connect(peer, address) => self.connect(peer, address),
                 Effect::Write(peer, bytes) => self.write(peer, bytes),
+                Effect::Read(peer, wanted) => {
+                    if let Some(connection) = self.connections.get_mut(&peer) {
+                        connection.reads = wanted;
+                    }
+                    self.set_interest(peer);
+                }
                 Effect::Close(peer) => self.close(peer),
                 Effect::Arm(at, due) => {
                     let timer = Timer::from_deadline(self.clock.instant(at));
@@ -184,13 +192,15 @@
                 _ => Ok(socket.into()),
             }
         };
-        let inserted = match begin() {
-            Ok(stream) => self.insert(peer, stream, true),
-            Err(fault) => {
-                log::debug!("connect {address}: {fault}");
-                false
+        let begun = begin().or_else(|fault| {
+            // Being out of descriptors says nothing of the other side.
+            if matches!(fault.raw_os_error(), Some(EMFILE | ENFILE)) {
+                self.reduce(Event::NoDescriptors);
+                return begin();
             }
-        };
+            Err(fault)
+        });
+        let inserted = begun.is_ok_and(|stream| self.insert(peer, stream, true));
         if !inserted {
             self.reduce(Event::Closed(peer));
         }
@@ -209,7 +219,8 @@
         match (prepared, registered) {
             (Ok(()), Ok(token)) => {
                 let (unwritten, at, left) = (Vec::new(), 0, 0);
-                let connection = Connection { stream, source, token, connecting, unwritten, at, left };
+                let connection =
+                    Connection { stream, source, token, connecting, reads: true, unwritten, at, left };
                 self.connections.insert(peer, connection);
                 true
             }
@@ -239,7 +250,7 @@
             match connection.stream.take_error() {
                 Ok(None) => {
                     connection.connecting = false;
-                    self.set_interest(peer, Interest::READ);
+                    self.set_interest(peer);
                     self.reduce(Event::Connected(peer));
                 }
                 _ => self.closed(peer),
@@ -288,18 +299,21 @@
         }
         let before = connection.left;
         let flushed = connection.flush();
-        let (left, done) = (connection.left, connection.unwritten.is_empty());
-        match flushed {
-            Err(_) => return self.closed(peer),
-            Ok(()) => self.set_interest(peer, if done { Interest::READ } else { Interest::BOTH }),
+        let left = connection.left;
+        if flushed.is_err() {
+            return self.closed(peer);
         }
+        self.set_interest(peer);
         if left > before {
             self.reduce(Event::Written(peer, left));
         }
     }
 
-    fn set_interest(&mut self, peer: Peer, interest: Interest) {
+    /// Follows what the connection waits for.
+    fn set_interest(&mut self, peer: Peer) {
         let Some(connection) = self.connections.get(&peer) else { return };
+        let writable = connection.connecting || !connection.unwritten.is_empty();
+        let interest = Interest { readable: connection.reads && !connection.connecting, writable };
         let mut source = connection.source.as_source_mut();
         if (source.interest.readable, source.interest.writable) == (interest.readable, interest.writable) {
             return;
@@ -312,8 +326,10 @@
     }
 }
 
-/// A connection that is under way reports this (the number is Linux's).
+// Linux's numbers: a connection is under way; the process, or the machine, is out of descriptors.
 const EINPROGRESS: i32 = 115;
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
 
 impl Connection {
     /// Writes as much as goes.
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -19,6 +19,8 @@
 const LAST_REQUESTS: Nanos = Nanos(750_000_000);
 /// After the signal to end all must be answered by then.
 const DRAINED_BY: Nanos = Nanos(3_500_000_000);
+/// Idle clients that are closed at once when descriptors run short.
+const IDLE_AT_ONCE: usize = 8;
 const SWEEP: Nanos = Nanos(1_000_000_000);
 /// The change log is connected to anew after so long, and up to as long again.
 const RECONNECT: Nanos = Nanos(100_000_000);
@@ -83,6 +85,8 @@
     Connect(Peer, SocketAddr),
     /// Write these bytes behind those before.
     Write(Peer, Vec<u8>),
+    /// Read from a connection, or leave it alone for now.
+    Read(Peer, bool),
     /// Close, whatever is unwritten.
     Close(Peer),
     /// Report when this time has come.
@@ -101,6 +105,8 @@
     known: Vec<Change>,
     epoch: Epoch,
     chance: Chance,
+    /// With more clients than this, idle ones are closed.
+    most_clients: usize,
     /// Nothing new can come any more.
     last_requests: bool,
 }
@@ -112,7 +118,8 @@
             life: Life::default(),
             chance: Chance::new(config.settings.seed.rotate_left(32)),
             module: Dispatcher::new(config.settings),
-            desk: Desk::new(config.names, config.connections),
+            desk: Desk::new(config.names, config.connections, config.limits.memory_mb),
+            most_clients: config.limits.sockets as usize / 2,
             log: ChangeLog { applied: config.known.seq, ..ChangeLog::default() },
             log_address: config.changelog,
             known: config.known.results,
@@ -128,6 +135,9 @@
             Event::Started => self.start(now),
             Event::Accepted(number) => {
                 self.desk.clients.insert(number, Client::default());
+                if self.desk.clients.len() > self.most_clients {
+                    self.close_idle_clients(number);
+                }
             }
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
             Event::Connected(Peer::ChangeLog(number)) if self.log.connection == number => {
@@ -138,11 +148,7 @@
             Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
             Event::Received(Peer::Node(number), bytes) => self.desk.node_received(number, bytes),
             Event::Received(Peer::ChangeLog(number), bytes) => self.log_received(now, number, bytes),
-            Event::Written(Peer::Client(number), total) => {
-                if let Some(client) = self.desk.clients.get_mut(&number) {
-                    client.written = total;
-                }
-            }
+            Event::Written(Peer::Client(number), total) => self.desk.client_written(number, total),
             Event::Written(Peer::Node(number), total) => self.desk.node_written(number, total),
             Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
             Event::Closed(Peer::Node(number)) => self.desk.node_closed(number),
@@ -154,12 +160,12 @@
                     self.desk.effects.extend(armed.map(|(span, due)| Effect::Arm(now.after(span), due)));
                 }
             }
-            Event::NoDescriptors => self.close_idle_clients(),
+            Event::NoDescriptors => self.close_idle_clients(u32::MAX),
             Event::Connected(_) | Event::Written(..) => {}
         }
         self.hand_on_ends(now);
-        let unsent = || self.desk.clients.values().any(|client| client.queued > client.written);
-        if self.life.phase() == Phase::Draining && self.last_requests && self.desk.owed == 0 && !unsent() {
+        let done = self.last_requests && self.desk.owed == 0 && self.desk.unsent == 0;
+        if self.life.phase() == Phase::Draining && done {
             self.life.move_to(Phase::Stopped);
             self.desk.effects.push(Effect::Exit);
         }
@@ -229,7 +235,7 @@
                 Ok(None) => return,
                 Ok(Some(Message::Request(tag, _))) if client.open.contains_key(&tag) => {
                     log::warn!("client: tag {tag} is open already");
-                    return self.close_client(now, number);
+                    return self.client_closed(now, number);
                 }
                 Ok(Some(Message::Request(tag, request))) => self.download(now, number, tag, *request),
                 Ok(Some(Message::Unusable(tag, why))) => {
@@ -246,7 +252,7 @@
                 }
                 Err(fault) => {
                     log::warn!("client: {fault}");
-                    return self.close_client(now, number);
+                    return self.client_closed(now, number);
                 }
             }
             // What the module has ended at once must be heard before the next download is decided.
@@ -287,25 +293,17 @@
     }
 
     fn client_closed(&mut self, now: Nanos, number: u32) {
-        let Some(client) = self.desk.clients.remove(&number) else { return };
-        self.desk.effects.push(Effect::Close(Peer::Client(number)));
-        let mut open: Vec<_> = client.open.into_values().collect();
-        open.sort_by_key(|dl| dl.0);
-        open.into_iter().for_each(|dl| self.forsake(now, dl));
+        self.desk.remove_client(number).into_iter().for_each(|dl| self.forsake(now, dl));
     }
 
-    fn close_client(&mut self, now: Nanos, number: u32) {
-        self.client_closed(now, number);
-    }
-
-    fn close_idle_clients(&mut self) {
-        let idle = self.desk.clients.iter().filter(|(_, client)| client.is_idle());
+    /// Closes the oldest connections on which nothing is open; the client asks again on a new one.
+    fn close_idle_clients(&mut self, newest: u32) {
+        let idle = self.desk.clients.iter().filter(|(number, client)| client.is_idle() && **number != newest);
         let mut idle: Vec<_> = idle.map(|(number, _)| *number).collect();
         idle.sort();
-        for number in idle.into_iter().take(8) {
-            self.desk.clients.remove(&number);
-            self.desk.effects.push(Effect::Close(Peer::Client(number)));
-        }
+        idle.into_iter().take(IDLE_AT_ONCE).for_each(|number| {
+            self.desk.remove_client(number);
+        });
     }
 
     // The change log.
--- /dev/null
+++ b/dispatcher/tests/dispatcher/common.rs
@@ -0,0 +1,131 @@
+//! A reducer played by hand: events go in, and what it asks for is printed.
+
+use copperroute::interface::Nanos;
+use copperroute_dispatcher::clock::Epoch;
+use copperroute_dispatcher::config::Config;
+use copperroute_dispatcher::reducer::{Due, Effect, Event, Peer, Reducer};
+use std::fmt::Write as _;
+
+/// A small fleet: two caches, two parents, an origin.
+pub const CONFIG: &str = include_str!("../../../deploy/example.json");
+
+/// The clock shows this when it starts.
+const EPOCH_NS: u64 = 86_400_000_000_000;
+
+/// A request as a client writes it.
+pub fn request(tag: u64, content_type: &str, id: &str, more: &str) -> Vec<u8> {
+    let fields = format!("req={id},timeout=1500,subject=7f3a,block=0{more}");
+    let (tag, lengths) = (tag.to_string(), [content_type.len(), fields.len()]);
+    format!(
+        "*5\r\n$3\r\nREQ\r\n${}\r\n{tag}\r\n${}\r\n{content_type}\r\n${}\r\n{fields}\r\n$0\r\n\r\n",
+        tag.len(),
+        lengths[0],
+        lengths[1]
+    )
+    .into_bytes()
+}
+
+/// A message of a verb and a tag.
+pub fn message(verb: &str, tag: u64) -> Vec<u8> {
+    let tag = tag.to_string();
+    format!("*2\r\n${}\r\n{verb}\r\n${}\r\n{tag}\r\n", verb.len(), tag.len()).into_bytes()
+}
+
+/// A reducer, the timers it asked for, and the trace.
+pub struct Play {
+    reducer: Reducer,
+    now: Nanos,
+    armed: Vec<(Nanos, Due)>,
+    written: std::collections::HashMap<Peer, u64>,
+    /// Connections come up and bytes leave by themselves, as on a calm network.
+    pub calm: bool,
+    pub trace: String,
+}
+
+impl Play {
+    /// A dispatcher with this configuration that has started, with one client connected.
+    pub fn of(config: &str) -> Play {
+        let config = Config::parse(config).expect("a good configuration");
+        let reducer = Reducer::new(config, Epoch::at(1_764_576_000_000_000_000));
+        let (armed, written) = (Vec::new(), Default::default());
+        let mut play =
+            Play { reducer, now: Nanos(EPOCH_NS), armed, written, calm: true, trace: String::new() };
+        play.event(Event::Started);
+        play.event(Event::Accepted(1));
+        play.trace.clear();
+        play
+    }
+
+    /// The same with the example configuration.
+    pub fn new() -> Play {
+        Play::of(CONFIG)
+    }
+
+    /// Hands in an event and prints what it brings.
+    pub fn event(&mut self, event: Event<'_>) {
+        let effects = self.reducer.reduce(self.now, event);
+        for effect in effects {
+            match effect {
+                Effect::Connect(peer, address) => {
+                    let _ = writeln!(self.trace, "connect {peer:?} {address}");
+                    if self.calm {
+                        self.event(Event::Connected(peer));
+                    }
+                }
+                Effect::Write(peer, bytes) => {
+                    let text = bytes.escape_ascii().to_string().replace("\\r\\n", " ");
+                    let _ = writeln!(self.trace, "{peer:?} <- {}", text.trim_end());
+                    let total = self.written.entry(peer).or_default();
+                    *total += bytes.len() as u64;
+                    let total = *total;
+                    if self.calm {
+                        self.event(Event::Written(peer, total));
+                    }
+                }
+                Effect::Close(peer) => {
+                    let _ = writeln!(self.trace, "close {peer:?}");
+                }
+                Effect::Read(peer, wanted) => {
+                    let _ = writeln!(self.trace, "read {peer:?} {wanted}");
+                }
+                Effect::Arm(at, due) => self.armed.push((at, due)),
+                Effect::Exit => self.trace.push_str("exit\n"),
+            }
+        }
+    }
+
+    /// A client's bytes.
+    pub fn client(&mut self, bytes: &[u8]) {
+        self.event(Event::Received(Peer::Client(1), bytes));
+    }
+
+    /// A node's answer line without its bytes, or the line and its bytes.
+    pub fn node(&mut self, connection: u32, answer: &str) {
+        let body = if answer.ends_with(" 0") { "" } else { "body" };
+        let bytes = format!("{answer}\r\n{body}\r\n");
+        self.event(Event::Received(Peer::Node(connection), bytes.as_bytes()));
+    }
+
+    /// A line of the change log.
+    pub fn log(&mut self, connection: u32, line: &str) {
+        self.event(Event::Received(Peer::ChangeLog(connection), format!("{line}\n").as_bytes()));
+    }
+
+    /// Lets time pass, with all that falls due.
+    pub fn pass(&mut self, millis: u64) {
+        let end = self.now.after(Nanos(millis * 1_000_000));
+        loop {
+            let next = self.armed.iter().enumerate().filter(|(_, timer)| timer.0 <= end);
+            let Some((at, _)) = next.min_by_key(|(_, timer)| timer.0) else { break };
+            let (when, due) = self.armed.remove(at);
+            self.now = self.now.max(when);
+            self.event(Event::Due(due));
+        }
+        self.now = end;
+    }
+
+    /// What was printed since the last call.
+    pub fn take(&mut self) -> String {
+        std::mem::take(&mut self.trace)
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/dispatcher/loopback.rs
@@ -0,0 +1,232 @@
+//! The program itself on loopback sockets, against small stand-ins of nodes and the change log.
+
+use crate::common::{CONFIG, message, request};
+use expect_test::expect;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Nothing here takes nearly as long; it only ends a test that hangs.
+const LONG: Duration = Duration::from_secs(20);
+
+/// A download so large that no stand-in counts as slow, however busy the machine is.
+const UNHURRIED: &str = ",need=25000,timeout=15000";
+
+/// What a stand-in of a node was sent, and its way to answer.
+struct Asked {
+    node: &'static str,
+    line: String,
+    back: TcpStream,
+}
+
+/// A node: tells each line that it is sent, and answers nothing by itself.
+fn stand_in(node: &'static str, asked: Sender<Asked>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let asked = asked.clone();
+            thread::spawn(move || {
+                let mut lines = BufReader::new(stream.try_clone().expect("a second handle")).lines();
+                while let Some(Ok(line)) = lines.next() {
+                    if line.starts_with("fetch") {
+                        lines.next();
+                    }
+                    let back = stream.try_clone().expect("a second handle");
+                    if asked.send(Asked { node, line, back }).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A program that serves, with stand-ins all around.
+struct Rig {
+    program: Child,
+    address: String,
+    asked: Receiver<Asked>,
+    log: TcpStream,
+}
+
+impl Rig {
+    fn start() -> Rig {
+        let (tell, asked) = channel();
+        let log = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let own = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = own.local_addr().expect("an address").to_string();
+        drop(own);
+        let mut config = CONFIG.replace("127.0.0.1:5050", &address);
+        config = config.replace("127.0.0.1:2379", &log.local_addr().expect("an address").to_string());
+        for (node, port) in [("s-a", 6001), ("s-b", 6002), ("p-1", 6003), ("p-2", 6004), ("o-1", 6005)] {
+            config = config.replace(&format!("127.0.0.1:{port}"), &stand_in(node, tell.clone()));
+        }
+        let path = std::env::temp_dir().join(format!("copperroute-{}.json", address.replace(':', "-")));
+        std::fs::write(&path, config).expect("a temporary file");
+        let program = Command::new(env!("CARGO_BIN_EXE_copperroute"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        // It connects to the change log once it has read its configuration and listens.
+        let (mut stream, _) = log.accept().expect("the program follows the change log");
+        let mut since = [0; 8];
+        stream.read_exact(&mut since).expect("a line");
+        assert_eq!(&since, b"since 1\n");
+        stream.write_all(b"1\n").expect("the program reads");
+        let _ = std::fs::remove_file(path);
+        Rig { program, address, asked, log: stream }
+    }
+
+    fn client(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.address).expect("the program listens");
+        stream.set_read_timeout(Some(LONG)).expect("a timeout");
+        stream
+    }
+
+    fn asked(&self) -> Asked {
+        self.asked.recv_timeout(LONG).expect("a node is asked")
+    }
+
+    /// The change log tells something.
+    fn tell(&mut self, line: &str) {
+        self.log.write_all(line.as_bytes()).expect("the program reads");
+    }
+
+    fn terminate(&self) {
+        let id = self.program.id().to_string();
+        assert!(
+            Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().expect("a shell").success()
+        );
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+    }
+}
+
+/// An answer of four bulk strings.
+fn answer(stream: &TcpStream) -> String {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    let mut items = Vec::new();
+    reader.read_line(&mut line).expect("an answer");
+    assert_eq!(line, "*4\r\n");
+    for _ in 0..4 {
+        line.clear();
+        reader.read_line(&mut line).expect("a length");
+        let length: usize = line.trim_end()[1..].parse().expect("a length");
+        let mut item = vec![0; length + 2];
+        reader.read_exact(&mut item).expect("an item");
+        items.push(item[..length].escape_ascii().to_string());
+    }
+    items.join(" ").trim_end().to_string() + "\n"
+}
+
+/// Who is asked depends on hashes that are the same in every run; what varies from run to run is the wait.
+fn shown(asked: &Asked) -> String {
+    let wait = asked.line.split("ttl=").nth(1).map_or("", |rest| rest.split([',', ' ']).next().unwrap_or(""));
+    format!("{}: {}\n", asked.node, asked.line.replace(&format!("ttl={wait}"), "ttl=T"))
+}
+
+#[test]
+fn a_download_is_served_though_a_node_dies_midway() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    client.write_all(&message("HEALTH", 1)).expect("the program reads");
+    let mut trace = answer(&client);
+    let bytes = request(7, "image", "9b1f", UNHURRIED);
+    client.write_all(&bytes[..30]).expect("the program reads");
+    client.write_all(&bytes[30..]).expect("the program reads");
+    let mut first = rig.asked();
+    trace += &shown(&first);
+    first.back.write_all(b"9b1f ok why=local 400\r\nhalf of it").expect("the program reads");
+    first.back.shutdown(Shutdown::Both).expect("the node dies");
+    let mut second = rig.asked();
+    trace += &shown(&second);
+    second.back.write_all(b"9b1f ok why=local 6\r\n\r\n\x00\xff\r\n\r\n").expect("the program reads");
+    trace += &answer(&client);
+    expect![[r#"
+        1 UP
+        s-a: fetch 9b1f lane=image,name=7f3a,piece=0,ttl=T 0
+        s-b: fetch 9b1f lane=image,name=7f3a,piece=0,ttl=T 0
+        7 OK  \r\n\x00\xff\r\n
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_purge_and_a_drain_are_heeded() {
+    let mut rig = Rig::start();
+    let mut client = rig.client();
+    client.write_all(&request(7, "image", "9b1f", UNHURRIED)).expect("the program reads");
+    let mut first = rig.asked();
+    let mut trace = shown(&first);
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis();
+    let drains = format!(
+        "{{\"seq\":2,\"invalidate\":{{\"object\":\"7f3a\",\"time\":{unix}}}}}\n\
+         {{\"seq\":3,\"fleet\":{{\"servers\":[{{\"id\":\"{}\",\"state\":\"leaving\",\"zone\":\"east\",\"kind\":\"box\"}}]}}}}\n",
+        first.node
+    );
+    rig.tell(&drains);
+    // The change log is heard when the next download names an age.
+    let mut second = loop {
+        client.write_all(&request(8, "image", "9b20", UNHURRIED)).expect("the program reads");
+        let asked = rig.asked();
+        if asked.line.contains("maxage") {
+            break asked;
+        }
+        let mut back = asked.back;
+        back.write_all(b"9b20 ok why=local 1\r\nx\r\n").expect("the program reads");
+        answer(&client);
+    };
+    assert_ne!(first.node, second.node);
+    assert!(second.line.contains("maxage="));
+    first.back.write_all(b"9b1f ok why=local 1\r\na\r\n").expect("the program reads");
+    trace += &answer(&client);
+    second.back.write_all(b"9b20 ok why=local 1\r\nb\r\n").expect("the program reads");
+    trace += &answer(&client);
+    expect![[r#"
+        s-a: fetch 9b1f lane=image,name=7f3a,piece=0,ttl=T 0
+        7 OK  a
+        8 OK  b
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn told_to_end_it_answers_what_is_open_and_ends_well() {
+    let mut rig = Rig::start();
+    let mut client = rig.client();
+    client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
+    let mut asked = rig.asked();
+    rig.terminate();
+    let mut late = rig.client();
+    while {
+        late.write_all(&message("HEALTH", 1)).expect("the program reads");
+        answer(&late).contains("UP")
+    } {}
+    late.write_all(&request(2, "image", "9b20", UNHURRIED)).expect("the program reads");
+    let mut second = rig.asked();
+    second.back.write_all(b"9b20 ok why=local 1\r\nx\r\n").expect("the program reads");
+    let mut trace = answer(&late);
+    asked.back.write_all(b"9b1f ok - 4\r\ndone\r\n").expect("the program reads");
+    trace += &answer(&client);
+    let status = rig.program.wait().expect("the program ends");
+    trace += &format!("{:?}\n", status.code());
+    expect![[r#"
+        2 OK  x
+        7 OK  done
+        Some(0)
+    "#]]
+    .assert_eq(&trace);
+}
--- /dev/null
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -0,0 +1,5 @@
+//! The reducer by hand, and the program on loopback sockets.
+
+mod common;
+mod loopback;
+mod reducer;
--- /dev/null
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -0,0 +1,384 @@
+//! Events in, effects out: what the dispatcher does on its connections, without sockets.
+
+use crate::common::{CONFIG, Play, message, request};
+use copperroute_dispatcher::reducer::{Event, Peer};
+use expect_test::expect;
+
+/// The connection that the last pull went out on.
+fn last_connection(trace: &str) -> u32 {
+    let line = trace.lines().rev().find(|line| line.contains("<- fetch")).unwrap_or_default();
+    line.split(['(', ')']).nth(1).and_then(|number| number.parse().ok()).unwrap_or_default()
+}
+
+#[test]
+fn a_download_is_looked_for_filled_and_answered_once() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.node(1, "9b1f nothing - 0");
+    play.node(1, "9b1f ok etag=4b,made=1764,why=pulled,ttfb=12 4");
+    play.node(1, "9b1f ok etag=4b,made=1764,why=pulled,ttfb=12 4");
+    play.pass(2_000);
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,src=p-1 0
+        Client(1) <- *4 $1 7 $2 OK $0  $4 body
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_node_that_dies_midway_is_replaced() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    let first = last_connection(&play.trace);
+    play.event(Event::Received(Peer::Node(first), b"9b1f ok - 4\r\nbo"));
+    play.event(Event::Closed(Peer::Node(first)));
+    let second = last_connection(&play.trace);
+    play.node(second, "9b1f ok why=local 4");
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        close Node(1)
+        connect Node(2) 127.0.0.1:6002
+        Node(2) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Client(1) <- *4 $1 7 $2 OK $0  $4 body
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_post_that_may_have_run_is_not_sent_again() {
+    let mut play = Play::new();
+    play.client(&request(7, "post", "9b1f", ""));
+    play.event(Event::Closed(Peer::Node(1)));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6005
+        Node(1) <- fetch 9b1f lane=post,name=7f3a,piece=0,ttl=1500 0
+        close Node(1)
+        Client(1) <- *4 $1 7 $6 FAILED $0  $0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_post_that_was_not_written_whole_goes_again() {
+    let mut play = Play::new();
+    play.calm = false;
+    play.client(&request(7, "post", "9b1f", ""));
+    play.event(Event::Connected(Peer::Node(1)));
+    play.event(Event::Written(Peer::Node(1), 20));
+    play.event(Event::Closed(Peer::Node(1)));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6005
+        Node(1) <- fetch 9b1f lane=post,name=7f3a,piece=0,ttl=1500 0
+        close Node(1)
+        connect Node(2) 127.0.0.1:6003
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
+    let mut play = Play::new();
+    play.calm = false;
+    play.client(&request(7, "post", "9b1f", ""));
+    play.pass(500);
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6005
+        close Node(1)
+        connect Node(2) 127.0.0.1:6003
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn what_waits_for_a_node_that_drains_goes_elsewhere() {
+    let mut play = Play::new();
+    play.calm = false;
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    let waits_for_a = play.trace.contains(":6001");
+    let drains = if waits_for_a { "s-a" } else { "s-b" };
+    play.log(1, &format!("{{\"seq\":2,\"fleet\":{{\"servers\":[{{\"id\":\"{drains}\",\"addr\":\"127.0.0.1:6001\",\"zone\":\"east\",\"kind\":\"box\",\"state\":\"leaving\"}}]}}}}"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        close Node(1)
+        connect Node(2) 127.0.0.1:6002
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_silent_connection_takes_no_further_pulls() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.pass(600);
+    play.client(&request(8, "image", "9b20", ",need=100"));
+    play.pass(6_000);
+    play.client(&request(9, "image", "9b21", ",need=100"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Node(1) <- abort 9b1f
+        close Node(1)
+        connect Node(2) 127.0.0.1:6002
+        Node(2) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1160 0
+        Node(2) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(2) <- abort 9b1f
+        Node(2) <- abort 9b20
+        close Node(2)
+        Client(1) <- *4 $1 7 $4 BUSY $11 holdoff=174 $0
+        Client(1) <- *4 $1 8 $4 BUSY $11 holdoff=196 $0
+        close ChangeLog(1)
+        connect ChangeLog(2) 127.0.0.1:2379
+        ChangeLog(2) <- since 1\n
+        connect Node(3) 127.0.0.1:6001
+        Node(3) <- fetch 9b21 lane=image,name=7f3a,piece=0,ttl=1500,src=p-1,keep=1 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_download_that_expires_is_answered_once_whatever_comes_after() {
+    let mut play = Play::new();
+    play.client(&request(7, "post", "9b1f", ""));
+    play.pass(1_499);
+    play.trace.push_str("now\n");
+    play.pass(1);
+    play.node(1, "9b1f ok why=pulled_far 4");
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6005
+        Node(1) <- fetch 9b1f lane=post,name=7f3a,piece=0,ttl=1500 0
+        now
+        Node(1) <- abort 9b1f
+        close Node(1)
+        Client(1) <- *4 $1 7 $6 FAILED $0  $0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_client_that_leaves_is_owed_nothing() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.client(&request(8, "image", "9b20", ",need=100"));
+    play.client(&message("ABORT", 7));
+    play.node(1, "9b1f ok why=local 4");
+    play.event(Event::Closed(Peer::Client(1)));
+    play.node(1, "9b20 ok why=local 4");
+    play.event(Event::Accepted(1));
+    play.client(&request(9, "image", "9b21", ",need=100"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Node(1) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(1) <- abort 9b1f
+        close Client(1)
+        Node(1) <- abort 9b20
+        Node(1) <- fetch 9b21 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_copy_that_the_client_holds_costs_no_bytes() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100,cached=4b"));
+    play.node(1, "9b1f current etag=4b,why=local 0");
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,have=4b 0
+        Client(1) <- *4 $1 7 $2 OK $6 keep=1 $0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn after_a_purge_the_copy_may_be_no_older() {
+    let mut play = Play::new();
+    play.pass(1_000);
+    play.log(1, r#"{"seq":2,"invalidate":{"object":"7f3a","time":1764576000400}}"#);
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    // The same event again changes nothing; the group's purge is the later one.
+    play.log(1, r#"{"seq":2,"invalidate":{"object":"7f3a","time":1764576000999}}"#);
+    play.log(1, r#"{"seq":3,"invalidate":{"bucket":17,"time":1764576000900}}"#);
+    play.client(&request(8, "image", "9b20", ",need=100,family=17"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,maxage=600 0
+        Node(1) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1,maxage=100 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn the_change_log_is_followed_without_a_gap() {
+    let mut play = Play::new();
+    play.log(1, "1");
+    play.log(1, "5");
+    play.trace.push_str("behind\n");
+    play.pass(200);
+    play.log(2, "{\"seq\":2");
+    play.trace.push_str("a bad line\n");
+    play.pass(200);
+    play.log(3, "1");
+    play.trace.push_str("silent\n");
+    play.pass(4_500);
+    expect![[r#"
+        close ChangeLog(1)
+        behind
+        connect ChangeLog(2) 127.0.0.1:2379
+        ChangeLog(2) <- since 1\n
+        close ChangeLog(2)
+        a bad line
+        connect ChangeLog(3) 127.0.0.1:2379
+        ChangeLog(3) <- since 1\n
+        silent
+        close ChangeLog(3)
+        connect ChangeLog(4) 127.0.0.1:2379
+        ChangeLog(4) <- since 1\n
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_new_node_at_the_address_of_one_that_has_gone_is_connected_to_anew() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    let old = if play.trace.contains(":6001") { ("s-a", 6001) } else { ("s-b", 6002) };
+    let line = |id: &str, port: u32, state: &str| {
+        format!(
+            "{{\"id\":\"{id}\",\"addr\":\"127.0.0.1:{port}\",\"zone\":\"east\",\"kind\":\"box\",\"state\":\"{state}\",\"weight\":20}}"
+        )
+    };
+    let (gone, new) = (line(old.0, old.1, "left"), line("s-new", old.1, "active"));
+    let other = if old.0 == "s-a" { line("s-b", 6002, "left") } else { line("s-a", 6001, "left") };
+    play.log(1, &format!("{{\"seq\":2,\"fleet\":{{\"servers\":[{gone},{new},{other}]}}}}"));
+    play.node(1, "9b1f ok why=local 4");
+    play.client(&request(8, "image", "9b20", ",need=100"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Client(1) <- *4 $1 7 $2 OK $0  $4 body
+        close Node(1)
+        connect Node(2) 127.0.0.1:6001
+        Node(2) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn what_cannot_be_read_ends_one_connection_only() {
+    let mut play = Play::new();
+    play.event(Event::Accepted(2));
+    play.event(Event::Received(Peer::Client(2), b"GET / HTTP/1.1\r\n"));
+    play.client(&request(6, "nothing-known", "9b1e", ""));
+    play.client(&request(7, "image", "bad id", ""));
+    play.client(&request(8, "image", "9b20", ",need=100"));
+    let first = last_connection(&play.trace);
+    play.event(Event::Received(Peer::Node(first), b"what?\r\n"));
+    let second = last_connection(&play.trace);
+    play.node(second, "9b20 ok why=local 4");
+    expect![[r#"
+        close Client(2)
+        Client(1) <- *4 $1 6 $6 FAILED $0  $0
+        Client(1) <- *4 $1 7 $6 FAILED $0  $0
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500 0
+        close Node(1)
+        connect Node(2) 127.0.0.1:6002
+        Node(2) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500 0
+        Client(1) <- *4 $1 8 $2 OK $0  $4 body
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn health_follows_the_phases_and_the_last_answer_comes_before_the_exit() {
+    let empty = CONFIG.replace(r#""full": true, "servers""#, r#""full": true, "later""#);
+    let empty = empty.replace(r#""later""#, r#""servers": [], "later""#).replace(r#""fleet""#, r#""other""#);
+    let mut play = Play::of(&empty);
+    play.client(&message("HEALTH", 1));
+    play.log(1, r#"{"seq":2,"fleet":{"full":true,"servers":[{"id":"s-a","addr":"127.0.0.1:6001","zone":"east","kind":"box","state":"active","weight":20}]}}"#);
+    play.client(&message("HEALTH", 2));
+    play.event(Event::Terminate);
+    play.client(&message("HEALTH", 3));
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.pass(200);
+    play.node(1, "9b1f ok why=local 4");
+    play.pass(400);
+    play.client(&request(8, "image", "9b20", ",need=100"));
+    play.pass(160);
+    play.trace.push_str("nothing new can come\n");
+    play.node(1, "9b20 ok why=local 4");
+    expect![[r#"
+        Client(1) <- *4 $1 1 $4 DOWN $0  $0
+        Client(1) <- *4 $1 2 $2 UP $0  $0
+        Client(1) <- *4 $1 3 $4 DOWN $0  $0
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Client(1) <- *4 $1 7 $2 OK $0  $4 body
+        Node(1) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        nothing new can come
+        Client(1) <- *4 $1 8 $2 OK $0  $4 body
+        exit
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn without_descriptors_idle_clients_go_and_busy_ones_stay() {
+    let mut play = Play::new();
+    play.event(Event::Accepted(2));
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.take();
+    play.event(Event::NoDescriptors);
+    expect![[r#"
+        close Client(2)
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn who_does_not_read_is_not_read_from() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.calm = false;
+    let body = vec![b'x'; 900_000];
+    play.event(Event::Received(Peer::Node(1), format!("9b1f ok - {}\r\n", body.len()).as_bytes()));
+    play.event(Event::Received(Peer::Node(1), &body));
+    play.take();
+    play.event(Event::Received(Peer::Node(1), b"\r\n"));
+    play.event(Event::Written(Peer::Client(1), 100_000));
+    play.event(Event::Written(Peer::Client(1), 890_000));
+    let trace = play.take().replace(&"x".repeat(900_000), "(900000 bytes)");
+    expect![[r#"
+        Client(1) <- *4 $1 7 $2 OK $0  $900000 (900000 bytes)
+        read Client(1) false
+        read Client(1) true
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_wrong_configuration_is_named_in_one_line() {
+    let wrong = [
+        CONFIG.replace("\"listen\": \"127.0.0.1:5050\"", "\"listen\": \"here\""),
+        CONFIG.replace("\"seed\": \"8c1f30d27a5be964\"", "\"seed\": \"xyz\""),
+        CONFIG.replace("\"max_attempts\": 6,", ""),
+        CONFIG.replace("\"cold_s\": 15.0", "\"cold_s\": \"soon\""),
+        "{".to_string(),
+    ];
+    let read = |text: String| {
+        copperroute_dispatcher::config::Config::parse(&text)
+            .map_or_else(|fault| fault + "\n", |_| "read\n".into())
+    };
+    expect![[r#"
+        listen: invalid socket address syntax at line 3 column 18
+        seed: expected hex digits, found 'xyz'
+        options: limits.max_attempts is missing
+        options: rules.cold_s: expected a number, found 'soon'
+        EOF while parsing an object at line 1 column 1
+    "#]]
+    .assert_eq(&wrong.map(read).concat());
+}
--- /dev/null
+++ b/protocol/tests/codecs.rs
@@ -0,0 +1,213 @@
+//! The codecs, fed whole, byte by byte and in random cuts: the same messages come out.
+
+use copperroute::chance::Chance;
+use copperroute::interface::Nanos;
+use copperroute_protocol::{changes, clients, nodes};
+use expect_test::expect;
+
+/// What a decoder makes of bytes in any cuts, which must be the same for all of them.
+fn in_all_cuts(bytes: &[u8], decode: impl Fn(&mut dyn Iterator<Item = &[u8]>) -> String) -> String {
+    let whole = decode(&mut [bytes].into_iter());
+    assert_eq!(whole, decode(&mut bytes.chunks(1)));
+    for seed in 0..50 {
+        let (mut chance, mut rest, mut cuts) = (Chance::new(seed), bytes, Vec::new());
+        while !rest.is_empty() {
+            let (cut, left) = rest.split_at(1 + (chance.share() * rest.len() as f64) as usize);
+            cuts.push(cut);
+            rest = left;
+        }
+        assert_eq!(whole, decode(&mut cuts.into_iter()), "seed {seed}");
+    }
+    whole
+}
+
+macro_rules! decoded {
+    ($decoder:ty, $next:ident, $bytes:expr) => {
+        in_all_cuts($bytes, |cuts| {
+            let (mut decoder, mut trace) = (<$decoder>::default(), String::new());
+            for cut in cuts {
+                decoder.feed(cut);
+                loop {
+                    match decoder.$next() {
+                        Ok(None) => break,
+                        Ok(Some(message)) => trace += &format!("{message:?}\n"),
+                        Err(fault) => return trace + &format!("! {fault}\n"),
+                    }
+                }
+            }
+            trace
+        })
+    };
+}
+
+#[test]
+fn clients_ask_for_downloads_call_them_off_and_ask_for_health() {
+    let fields = "req=9b1f,timeout=1500,resent=1,subject=7f3a,block=3,family=17,need=412.5,cached=4be0,new=1";
+    let mut bytes =
+        format!("*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$7\r\nsegment\r\n${}\r\n{fields}\r\n", fields.len())
+            .into_bytes();
+    bytes.extend_from_slice(
+        b"$4\r\n\r\n*\xff\r\n*2\r\n$5\r\nABORT\r\n$1\r\n7\r\n*3\r\n$6\r\nHEALTH\r\n$1\r\n8\r\n$0\r\n\r\n",
+    );
+    expect![[r#"
+        Request(7, Request { content_type: "segment", id: "9b1f", timeout_ms: 1500, repeat: true, object: "7f3a", part: 3, group: Some(17), size_kb: Some(412.5), held: Some("4be0"), body: [13, 10, 42, 255] })
+        Abort(7)
+        Health(8)
+    "#]]
+    .assert_eq(&decoded!(clients::Decoder, next_message, &bytes));
+}
+
+#[test]
+fn a_request_with_unusable_fields_keeps_its_tag() {
+    let message = |fields: &str| {
+        let bytes = format!("*4\r\n$3\r\nREQ\r\n$1\r\n7\r\n$1\r\nx\r\n${}\r\n{fields}\r\n", fields.len());
+        decoded!(clients::Decoder, next_message, bytes.as_bytes())
+    };
+    let fields = [
+        "subject=a,timeout=5",
+        "req=a b,subject=a,timeout=5",
+        "req=a,subject=a",
+        "req=a,subject=a,timeout=x",
+        "req=a,subject=a,timeout=5,block=-1",
+    ];
+    expect![[r#"
+        Unusable(7, "req: expected a word, found ''")
+        Unusable(7, "req: expected a word, found 'a b'")
+        Unusable(7, "timeout: expected milliseconds")
+        Unusable(7, "timeout: expected a number, found 'x'")
+        Unusable(7, "block: expected a number, found '-1'")
+    "#]]
+    .assert_eq(&fields.map(message).concat());
+}
+
+#[test]
+fn what_a_client_sends_out_of_frame_is_named() {
+    let bytes: [&[u8]; 7] = [
+        b"GET / HTTP/1.1\r\n",
+        b"*0\r\n",
+        b"*9\r\n",
+        b"*1\r\n$9999999\r\n",
+        b"*1\r\n$2\r\nabc\r\n",
+        b"*1\r\n$5\r\nABORT\r\n",
+        b"*000000000000000000000000000000000000000000000",
+    ];
+    let decode = |bytes: &[u8]| decoded!(clients::Decoder, next_message, bytes);
+    expect![[r#"
+        ! expected '*' and a length up to 8, found 'GET / HTTP/1.1'
+        ! an empty array
+        ! expected '*' and a length up to 8, found '*9'
+        ! expected '$' and a length up to 262144, found '$9999999'
+        ! no line end after 2 bytes
+        ! a message without a tag
+        ! a line of more than 32 bytes
+    "#]]
+    .assert_eq(&bytes.map(decode).concat());
+}
+
+#[test]
+fn answers_to_clients() {
+    use clients::Answer::*;
+    let answers = [Fulfilled(b"\r\n"), Current, Throttled(None), Throttled(Some(120)), Abandoned, Up, Down];
+    let encoded = answers.map(|answer| clients::encode(7, answer).escape_ascii().to_string() + "\n");
+    expect![[r#"
+        *4\r\n$1\r\n7\r\n$2\r\nOK\r\n$0\r\n\r\n$2\r\n\r\n\r\n
+        *4\r\n$1\r\n7\r\n$2\r\nOK\r\n$6\r\nkeep=1\r\n$0\r\n\r\n
+        *4\r\n$1\r\n7\r\n$4\r\nBUSY\r\n$0\r\n\r\n$0\r\n\r\n
+        *4\r\n$1\r\n7\r\n$4\r\nBUSY\r\n$11\r\nholdoff=120\r\n$0\r\n\r\n
+        *4\r\n$1\r\n7\r\n$6\r\nFAILED\r\n$0\r\n\r\n$0\r\n\r\n
+        *4\r\n$1\r\n7\r\n$2\r\nUP\r\n$0\r\n\r\n$0\r\n\r\n
+        *4\r\n$1\r\n7\r\n$4\r\nDOWN\r\n$0\r\n\r\n$0\r\n\r\n
+    "#]]
+    .assert_eq(&encoded.concat());
+}
+
+#[test]
+fn pulls_to_nodes() {
+    let plain = nodes::Fetch {
+        id: "9b1f",
+        content_type: "segment",
+        object: "7f3a",
+        part: 3,
+        wait: Nanos(1_500_900_000),
+        ..nodes::Fetch::default()
+    };
+    let full = nodes::Fetch {
+        source: Some("p-1"),
+        rank: 3,
+        // Under a millisecond must not become 0, which stands for no limit.
+        max_age: Some(Nanos(900_000)),
+        join: true,
+        held_only: true,
+        no_parent_copy: true,
+        renew: true,
+        held: Some("4be0"),
+        body: b"\r\nx",
+        ..plain.clone()
+    };
+    let mut bytes = Vec::new();
+    nodes::encode_fetch(&plain, &mut bytes);
+    nodes::encode_fetch(&full, &mut bytes);
+    nodes::encode_abort("9b1f", &mut bytes);
+    expect![[r#"
+        fetch 9b1f lane=segment,name=7f3a,piece=3,ttl=1500 0\r\n
+        \r\n
+        fetch 9b1f lane=segment,name=7f3a,piece=3,ttl=1500,src=p-1,keep=3,maxage=1,flags=share+peek+pass+swr,have=4be0 3\r\n
+        \r\n
+        x\r\n
+        abort 9b1f\r\n
+    "#]].assert_eq(&bytes.escape_ascii().to_string().replace("\\r\\n", "\\r\\n\n"));
+}
+
+#[test]
+fn answers_of_nodes() {
+    let bytes = b"9b1f ok etag=4b,made=1764,why=pulled_far,ttfb=12.5,rep=util:0.61;inflight:7 4\r\n\r\n\x00\xff\r\n\
+        9b20 current etag=4b,why=local 0\r\n\r\n9b21 nothing - 0\r\n\r\n9b22 refused why=turned_away 0\r\n\r\n\
+        9b23 error why=unheard_of,new=1,rep=inflight:nan 0\r\n\r\n9b24 stale - 0\r\n\r\n";
+    expect![[r#"
+        Answer { id: "9b1f", outcome: Fulfilled, current: false, remark: FilledFromOrigin, waited: Some(Nanos(12500000)), report: Report { in_hand: Some(7.0) }, body: [13, 10, 0, 255] }
+        Answer { id: "9b20", outcome: Fulfilled, current: true, remark: Hit, waited: None, report: Report { in_hand: None }, body: [] }
+        Answer { id: "9b21", outcome: NotHeld, current: false, remark: None, waited: None, report: Report { in_hand: None }, body: [] }
+        Answer { id: "9b22", outcome: Refused, current: false, remark: SourceRefused, waited: None, report: Report { in_hand: None }, body: [] }
+        Answer { id: "9b23", outcome: Failed, current: false, remark: None, waited: None, report: Report { in_hand: None }, body: [] }
+        Answer { id: "9b24", outcome: NotSent, current: false, remark: None, waited: None, report: Report { in_hand: None }, body: [] }
+    "#]].assert_eq(&decoded!(nodes::Decoder, next_answer, bytes));
+}
+
+#[test]
+fn what_a_node_sends_out_of_frame_is_named() {
+    let bytes: [&[u8]; 5] = [
+        b"hello\r\n",
+        b"9b1f ok - 99999999\r\n",
+        b"9b1f ok - -1\r\n",
+        b"9b1f nope - 0\r\n",
+        b"9b1f ok - 1\r\nabc\r\n",
+    ];
+    let decode = |bytes: &[u8]| decoded!(nodes::Decoder, next_answer, bytes);
+    expect![[r#"
+        ! expected an answer, found 'hello'
+        ! expected an answer, found '9b1f ok - 99999999'
+        ! expected an answer, found '9b1f ok - -1'
+        ! expected an answer, found '9b1f nope - 0'
+        ! no line end after 1 bytes
+    "#]]
+    .assert_eq(&bytes.map(decode).concat());
+}
+
+#[test]
+fn the_change_log() {
+    let bytes = br#"41
+{"seq":42,"fleet":{"version":7,"full":false,"servers":[{"id":"s-1","addr":"10.1.0.9:5050","zone":"east","kind":"std","cell":2,"state":"leaving","weight":4,"started_ms":0}]}}
+{"seq":43,"invalidate":{"object":"7f3a","time":1764576000123}}
+{"seq":44,"invalidate":{"bucket":17,"time":1764576000480}}
+{"seq":45,"something":{"new":1}}
+{"seq":46,"fleet":{"servers":[{"id":"s-1","state":"gone fishing"}]}}
+"#;
+    expect![[r#"
+        Last(41)
+        Change(Change { seq: 42, fleet: Some(Fleet { full: false, servers: [Listed { id: "s-1", addr: Some(10.1.0.9:5050), zone: "east", kind: "std", cell: Some(2), state: Leaving, weight: Some(4.0), started_ms: Some(0) }] }), invalidate: None })
+        Change(Change { seq: 43, fleet: None, invalidate: Some(Purge { object: Some("7f3a"), bucket: None, time: 1764576000123 }) })
+        Change(Change { seq: 44, fleet: None, invalidate: Some(Purge { object: None, bucket: Some(17), time: 1764576000480 }) })
+        Change(Change { seq: 45, fleet: None, invalidate: None })
+        ! a bad line of the change log: data did not match any variant of untagged enum Line
+    "#]].assert_eq(&decoded!(changes::Decoder, next_line, bytes));
+}
