Do not fill at a cache that drained while it was looked at

Checked: the pull did not wait in the connection (withdraw drops those); it was ordered anew. Lines at fault: decide.rs, pull: a miss went on to the fill at the cache that was looked at without asking whether it is still listed. A busy cache that answers a look late breaks rule 3. Now a miss at a cache that is not listed any more starts a look elsewhere. Also guards against caches that die or are replaced while looked at. Harm: one look more.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -115,12 +115,12 @@
         self.pull(now, d.dl, out);
     }
 
-    /// Chooses node and source and sends; gives the download up at once where nothing can take it.
-    /// A cache is looked at before a fill is asked of it, so that every fill is known as one when it is
-    /// decided: the location's link, cold parents and the origin are only asked for what they can bear.
+    /// Chooses node and source and sends; gives up at once where nothing can take it. A cache is looked at
+    /// before a fill is asked of it, so that every fill is decided as one: link, cold parents and origin get
+    /// only what they bear. One that drained meanwhile is not filled (rule 3): the look goes elsewhere.
     fn pull(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get(id.0).cloned() else { return };
-        let chosen = match dl.missed_at {
+        let chosen = match dl.missed_at.filter(|id| self.nodes.get(*id).is_some_and(|n| n.listed)) {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
             Some(node) if self.too_full(now, &dl, node) => None,
             Some(node) => self.source(now, &dl).map(|source| (node, source)),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -171,3 +171,17 @@
     "#]]
     .assert_eq(&trace.0);
 }
+
+#[test]
+fn a_cache_that_drains_while_it_is_looked_at_is_not_filled() {
+    let (mut module, mut trace) = start(settings());
+    ask(&mut module, ms(1_000), 0, 0, 1, &mut trace);
+    module.nodes_changed(ms(1_100), &[entry(1, 0, Readiness::Draining, Nanos::ZERO)], &mut trace);
+    // A busy cache answers the look only after the grace of the drain.
+    miss(&mut module, ms(2_300), 0, &mut trace);
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 0 from 0 rank 0 join
+    "#]]
+    .assert_eq(&trace.0);
+}
