Forget ids of pulls given up once they expire; silence retires all idle connections of a node

Each pull that was called off left its id marked on the connection until the connection closed, and under steady traffic that is never: memory that grows. When a pull went unanswered only its own connection was retired; another idle one to the same vanished machine would have cost the trial pull after the time aside as well. The loss of the change log is now logged, once, and so is its return.

The new test opened a third connection before the change and uses the first after it.

--- a/dispatcher/src/changes.rs
+++ b/dispatcher/src/changes.rs
@@ -15,6 +15,8 @@
     pub connection: u32,
     /// Whether that connection is in use, made or being made.
     pub open: bool,
+    /// The last word in the log was that it is lost.
+    pub lost: bool,
     /// The number of an event that could not be used; if it comes so again, it is passed over.
     pub unusable: Option<u64>,
     /// When it last told anything.
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -257,12 +257,15 @@
             } else if let Some(written) = connection.out.get_mut(&held.request.id) {
                 written.pull = None;
                 connection.live -= 1;
-                // Silent though somebody waits: what else goes there might wait as long.
-                connection.retired |= held.owed && connection.answered <= written.at;
+                let (node, since) = (connection.node, written.at);
                 let mut bytes = Vec::new();
                 nodes::encode_abort(&held.request.id, &mut bytes);
                 connection.queued += bytes.len() as u64;
                 self.effects.push(Effect::Write(Peer::Node(number), bytes));
+                if held.owed && connection.answered <= since {
+                    // Silent though somebody waits: what else goes there might wait as long.
+                    self.retire(node, since);
+                }
             }
         }
         self.end(pull, outcome, None);
@@ -302,7 +305,10 @@
             };
             nodes::encode_fetch(&fetch, &mut bytes);
             let end = connection.queued + bytes.len() as u64;
-            connection.out.insert(request.id.clone(), Written { pull: Some(pull), at: now, end });
+            connection.out.insert(
+                request.id.clone(),
+                Written { pull: Some(pull), at: now, end, expires: held.expires },
+            );
             connection.live += 1;
         }
         if !bytes.is_empty() {
@@ -419,10 +425,14 @@
         }
     }
 
-    /// Closes connections that carry nothing before the node does, so that no pull crosses its close.
+    /// Closes connections that carry nothing before the node does, so that no pull crosses its close, and
+    /// forgets the ids of pulls that were given up once they can't come again.
     pub fn sweep(&mut self) {
         let idle = Nanos(self.limits.idle.0 / 4 * 3);
         let now = self.now;
+        for connection in self.connections.values_mut() {
+            connection.out.retain(|_, written| written.pull.is_some() || written.expires > now);
+        }
         let old = |c: &Connection| c.load() == 0 && idle > Nanos::ZERO && now.since(c.used) > idle;
         let spent = self.connections.iter().filter(|(_, connection)| old(connection));
         let mut spent: Vec<_> = spent.map(|(number, _)| *number).collect();
@@ -445,7 +455,7 @@
         let connections = std::mem::take(&mut known.connections);
         *known = Pool { address: pool.address.or(known.address), connections, ..pool };
         if anew {
-            self.retire(node);
+            self.retire(node, self.now);
         }
         node
     }
@@ -473,15 +483,15 @@
         }
         dropped.sort_by_key(|pull| (pull.dl.0, pull.number));
         dropped.into_iter().for_each(|pull| self.end(pull, Outcome::NotSent, None));
-        self.retire(node);
+        self.retire(node, self.now);
     }
 
-    /// The connections to a node take no further pulls.
-    fn retire(&mut self, node: NodeId) {
+    /// The connections to a node that have finished no answer since then take no further pulls.
+    fn retire(&mut self, node: NodeId, since: Nanos) {
         let numbers = self.pools.get(node.0).map(|pool| pool.connections.clone()).unwrap_or_default();
         for number in numbers {
             if let Some(connection) = self.connections.get_mut(&number) {
-                connection.retired = true;
+                connection.retired |= connection.answered <= since;
             }
             self.close_if_spent(number);
         }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -23,6 +23,8 @@
     pub at: Nanos,
     /// The place in the connection's bytes behind its last.
     pub end: u64,
+    /// When its download expires: after that its id does not come again.
+    pub expires: Nanos,
 }
 
 /// One connection to a node.
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -147,6 +147,9 @@
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
             Event::Connected(Peer::ChangeLog(number)) if self.log.connection == number => {
                 self.log.heard = now;
+                if std::mem::take(&mut self.log.lost) {
+                    log::info!("change log: connected");
+                }
                 let since = encode_since(self.log.applied);
                 self.desk.effects.push(Effect::Write(Peer::ChangeLog(number), since));
             }
@@ -328,6 +331,10 @@
             return;
         }
         self.log.open = false;
+        // It may be away for long, and is tried often: one line tells of it.
+        if !std::mem::replace(&mut self.log.lost, true) {
+            log::warn!("change log: lost, connecting anew");
+        }
         let wait = RECONNECT.after(Nanos::from_secs(RECONNECT.secs() * self.chance.share()));
         self.desk.effects.push(Effect::Close(Peer::ChangeLog(number)));
         self.desk.effects.push(Effect::Arm(now.after(wait), Due::ChangeLog));
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -182,6 +182,32 @@
     .assert_eq(&play.take());
 }
 
+#[test]
+fn the_id_of_a_pull_given_up_is_kept_apart_until_it_expires() {
+    let mut play = Play::new();
+    let asks = |play: &mut Play, tag| {
+        play.client(&request(tag, "image", "9b1f", ",need=100"));
+        play.client(&message("ABORT", tag));
+    };
+    asks(&mut play, 7);
+    asks(&mut play, 8);
+    play.pass(2_500);
+    play.trace.push_str("expired\n");
+    asks(&mut play, 9);
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Node(1) <- abort 9b1f
+        connect Node(2) 127.0.0.1:6001
+        Node(2) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(2) <- abort 9b1f
+        expired
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(1) <- abort 9b1f
+    "#]]
+    .assert_eq(&play.take());
+}
+
 #[test]
 fn a_copy_that_the_client_holds_costs_no_bytes() {
     let mut play = Play::new();
