--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -1,9 +1,13 @@
-//! Client connections: what is open on each, and what has not left yet.
+//! Client connections: what is open on each, what has not left yet, and who is read from.
 
+use crate::reducer::{Effect, Peer};
 use copperroute::interface::DlId;
-use copperroute_protocol::clients::Decoder;
+use copperroute_protocol::clients::{Answer, Decoder, encode};
 use std::collections::HashMap;
 
+/// A client with more unsent than this is not read from until half of it has left.
+const UNSENT: u64 = 512 * 1024;
+
 /// One connection of a client.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -12,20 +16,91 @@
     /// Open downloads by tag.
     pub open: HashMap<u64, DlId>,
     /// Bytes given to the connection, and those that have left.
-    pub queued: u64,
-    pub written: u64,
+    queued: u64,
+    written: u64,
     /// It reads so slowly that it is not read from either.
-    pub held_back: bool,
+    held_back: bool,
 }
 
 impl Client {
-    /// Bytes that have not left.
-    pub fn unsent(&self) -> u64 {
+    fn unsent(&self) -> u64 {
         self.queued.saturating_sub(self.written)
     }
 
-    /// Whether nothing is owed on it.
-    pub fn is_idle(&self) -> bool {
+    fn is_idle(&self) -> bool {
         self.open.is_empty() && self.unsent() == 0
     }
 }
+
+/// The connections of all clients.
+#[derive(Debug, Default)]
+pub struct Clients {
+    by_number: HashMap<u32, Client>,
+    unsent: u64,
+}
+
+impl Clients {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.by_number.len()
+    }
+
+    /// Bytes for all of them that have not left.
+    pub fn unsent(&self) -> u64 {
+        self.unsent
+    }
+
+    /// A client has connected.
+    pub fn accept(&mut self, number: u32) {
+        self.by_number.insert(number, Client::default());
+    }
+
+    /// A client that is still there.
+    pub fn get_mut(&mut self, number: u32) -> Option<&mut Client> {
+        self.by_number.get_mut(&number)
+    }
+
+    /// Writes to a client, if it is still there.
+    pub fn write(&mut self, number: u32, tag: u64, answer: Answer<'_>, effects: &mut Vec<Effect>) {
+        let Some(client) = self.by_number.get_mut(&number) else { return };
+        let bytes = encode(tag, answer);
+        client.queued += bytes.len() as u64;
+        self.unsent += bytes.len() as u64;
+        effects.push(Effect::Write(Peer::Client(number), bytes));
+        if client.unsent() > UNSENT && !client.held_back {
+            client.held_back = true;
+            effects.push(Effect::Read(Peer::Client(number), false));
+        }
+    }
+
+    /// Bytes for a client have left, so many in all.
+    pub fn written(&mut self, number: u32, total: u64, effects: &mut Vec<Effect>) {
+        let Some(client) = self.by_number.get_mut(&number) else { return };
+        self.unsent -= total.saturating_sub(client.written);
+        client.written = total;
+        if client.held_back && client.unsent() <= UNSENT / 2 {
+            client.held_back = false;
+            effects.push(Effect::Read(Peer::Client(number), true));
+        }
+    }
+
+    /// A client's connection ends; returns what was open on it.
+    pub fn remove(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<DlId> {
+        let Some(client) = self.by_number.remove(&number) else { return Vec::new() };
+        self.unsent -= client.unsent();
+        effects.push(Effect::Close(Peer::Client(number)));
+        let mut open: Vec<_> = client.open.into_values().collect();
+        open.sort_by_key(|dl| dl.0);
+        open
+    }
+
+    /// Closes up to `most` of the oldest connections on which nothing is open, but not the one that is spared.
+    pub fn close_idle(&mut self, most: usize, spared: Option<u32>, effects: &mut Vec<Effect>) {
+        let idle = self.by_number.iter().filter(|(number, c)| c.is_idle() && Some(**number) != spared);
+        let mut idle: Vec<_> = idle.map(|(number, _)| *number).collect();
+        idle.sort();
+        for number in idle.into_iter().take(most) {
+            self.remove(number, effects);
+        }
+    }
+}
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -1,10 +1,19 @@
 //! Node connections: a few for each node, shared by its pulls.
 
+use crate::reducer::{Due, Effect, Peer};
+use copperroute::ids::Ids;
 use copperroute::interface::{DlId, Nanos, NodeId, Readiness};
-use copperroute_protocol::nodes::Decoder;
+use copperroute::state::Slots;
+use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
+use copperroute_settings::Connections;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
+/// Connections to one node at most that take pulls.
+const CONNECTIONS: usize = 4;
+/// Bytes of pulls handed to a connection at once; what waits longer can still be dropped unsent.
+const GATHERED: usize = 16 * 1024;
+
 /// One pull of a download.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PullRef {
@@ -16,47 +25,44 @@
 
 /// A pull that was written, by the download's id.
 #[derive(Debug, Clone, Copy)]
-pub struct Written {
+struct Written {
     /// Whose it is; nobody's once it was given up.
-    pub pull: Option<PullRef>,
+    pull: Option<PullRef>,
     /// When it was written.
-    pub at: Nanos,
+    at: Nanos,
     /// The place in the connection's bytes behind its last.
-    pub end: u64,
+    end: u64,
     /// When its download expires: after that its id does not come again.
-    pub expires: Nanos,
+    expires: Nanos,
 }
 
 /// One connection to a node.
 #[derive(Debug)]
-pub struct Connection {
-    /// The node.
-    pub node: NodeId,
+struct Connection {
+    node: NodeId,
     /// The connection has come up.
-    pub up: bool,
+    up: bool,
     /// It takes no further pulls.
-    pub retired: bool,
-    /// Decodes what the node answers.
-    pub decoder: Decoder,
+    retired: bool,
+    decoder: Decoder,
     /// Pulls not yet written.
-    pub waiting: VecDeque<PullRef>,
-    /// Pulls written and not yet answered.
-    pub out: HashMap<String, Written>,
+    waiting: VecDeque<PullRef>,
+    /// Pulls written and not yet answered, by the downloads' ids.
+    out: HashMap<String, Written>,
     /// How many of those still are somebody's.
-    pub live: usize,
+    live: usize,
     /// Bytes given to the connection, and those that have left.
-    pub queued: u64,
-    pub written: u64,
+    queued: u64,
+    written: u64,
     /// When the node last finished an answer on it; before that, when it came up. Half an answer and then
     /// silence would hold up all that is asked for behind it.
-    pub answered: Nanos,
+    answered: Nanos,
     /// When it last carried anything.
-    pub used: Nanos,
+    used: Nanos,
 }
 
 impl Connection {
-    /// A connection that is being made.
-    pub fn new(node: NodeId, now: Nanos) -> Self {
+    fn new(node: NodeId, now: Nanos) -> Self {
         Connection {
             node,
             up: false,
@@ -73,7 +79,7 @@
     }
 
     /// The pulls that it carries or will carry.
-    pub fn load(&self) -> usize {
+    fn load(&self) -> usize {
         self.waiting.len() + self.live
     }
 }
@@ -90,3 +96,304 @@
     /// Its connections.
     pub connections: Vec<u32>,
 }
+
+/// All nodes ever listed, and the connections to them.
+#[derive(Debug)]
+pub struct Nodes {
+    limits: Connections,
+    ids: Ids<String>,
+    pools: Slots<Pool>,
+    connections: HashMap<u32, Connection>,
+    last: u32,
+    /// Nothing is read from them for now.
+    held_back: bool,
+}
+
+impl Nodes {
+    /// No nodes yet.
+    pub fn new(limits: Connections) -> Self {
+        let (ids, pools, connections) = (Ids::default(), Slots::default(), HashMap::new());
+        Nodes { limits, ids, pools, connections, last: 0, held_back: false }
+    }
+
+    // The list.
+
+    /// A node's id.
+    pub fn id(&self, node: NodeId) -> &str {
+        self.ids.key(node.0)
+    }
+
+    /// The index of a listed node, new or known.
+    pub fn list(&mut self, id: &str, pool: Pool, now: Nanos, effects: &mut Vec<Effect>) -> NodeId {
+        let node = NodeId(self.ids.open(id.to_string()));
+        let address = pool.address.map_or("no address".to_string(), |address| address.to_string());
+        log::info!("node {}: {id} at {address}, {:?}", node.0, pool.readiness);
+        let Some(known) = self.pools.get_mut(node.0) else {
+            self.pools.put(node.0, pool);
+            return node;
+        };
+        let anew = pool.started > known.started || (pool.address.is_some() && pool.address != known.address);
+        let connections = std::mem::take(&mut known.connections);
+        *known = Pool { address: pool.address.or(known.address), connections, ..pool };
+        if anew {
+            self.retire(node, now, effects);
+        }
+        node
+    }
+
+    /// The nodes that a whole list does not name.
+    pub fn unlisted(&self, named: &[NodeId]) -> Vec<NodeId> {
+        let listed = |node: &NodeId| self.pools.get(node.0).is_some_and(|p| p.readiness != Readiness::Gone);
+        let all = (0..self.ids.count()).map(NodeId);
+        all.filter(|node| listed(node) && !named.contains(node)).collect()
+    }
+
+    /// A node takes no new work: its connections take no further pulls. Returns the pulls not yet written,
+    /// to any node, that are `meant`.
+    pub fn withdraw(
+        &mut self,
+        node: NodeId,
+        readiness: Readiness,
+        now: Nanos,
+        meant: impl Fn(&PullRef) -> bool,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<PullRef> {
+        if let Some(pool) = self.pools.get_mut(node.0) {
+            pool.readiness = readiness;
+        }
+        let mut dropped: Vec<PullRef> = Vec::new();
+        for connection in self.connections.values_mut() {
+            dropped.extend(connection.waiting.iter().filter(|pull| meant(pull)));
+            connection.waiting.retain(|pull| !meant(pull));
+        }
+        dropped.sort_by_key(|pull| (pull.dl.0, pull.number));
+        self.retire(node, now, effects);
+        dropped
+    }
+
+    // Pulls.
+
+    /// Puts a pull of a download on a connection to a node, made if need be; nothing if there is none to be
+    /// had.
+    pub fn take(
+        &mut self,
+        node: NodeId,
+        pull: PullRef,
+        id: &str,
+        now: Nanos,
+        effects: &mut Vec<Effect>,
+    ) -> Option<u32> {
+        let pool = self.pools.get_mut(node.0)?;
+        let address = pool.address?;
+        let usable = |number: &&u32| self.connections.get(number).is_some_and(|c| !c.retired);
+        let fits = |number: &&u32| {
+            let connection = self.connections.get(number);
+            connection.is_some_and(|c| c.load() < self.limits.streams && !c.out.contains_key(id))
+        };
+        let load = |number: &&u32| self.connections.get(number).map_or(0, Connection::load);
+        let best = pool.connections.iter().filter(usable).filter(fits).min_by_key(load).copied();
+        let number = match best {
+            Some(number) => number,
+            None if pool.connections.iter().filter(usable).count() >= CONNECTIONS => return None,
+            None => {
+                self.last += 1;
+                pool.connections.push(self.last);
+                self.connections.insert(self.last, Connection::new(node, now));
+                let overdue = now.after(self.limits.connect_timeout);
+                effects.push(Effect::Connect(Peer::Node(self.last), address));
+                effects.push(Effect::Arm(overdue, Due::Connect(self.last)));
+                self.last
+            }
+        };
+        self.connections.get_mut(&number)?.waiting.push_back(pull);
+        Some(number)
+    }
+
+    /// Hands waiting pulls to a connection that has nothing unsent, as many as go at once. What a pull says
+    /// is asked for only then; one that is nobody's any more has nothing to say.
+    pub fn hand_over<'a>(
+        &mut self,
+        number: u32,
+        now: Nanos,
+        fetch: impl Fn(PullRef) -> Option<(Fetch<'a>, Nanos)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        if !connection.up || connection.queued > connection.written {
+            return;
+        }
+        let mut bytes = Vec::new();
+        while bytes.len() < GATHERED {
+            let Some(pull) = connection.waiting.pop_front() else { break };
+            let Some((fetch, expires)) = fetch(pull) else { continue };
+            encode_fetch(&fetch, &mut bytes);
+            let end = connection.queued + bytes.len() as u64;
+            let written = Written { pull: Some(pull), at: now, end, expires };
+            connection.out.insert(fetch.id.to_string(), written);
+            connection.live += 1;
+        }
+        if !bytes.is_empty() {
+            connection.queued += bytes.len() as u64;
+            connection.used = now;
+            effects.push(Effect::Write(Peer::Node(number), bytes));
+        }
+    }
+
+    /// Gives up a pull: unsent it is dropped, which is told, else the node hears of it. If it was `waited_for`
+    /// and the node has finished no answer since it was sent, what else goes there might wait as long.
+    pub fn give_up(
+        &mut self,
+        number: u32,
+        pull: PullRef,
+        id: &str,
+        waited_for: bool,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(connection) = self.connections.get_mut(&number) else { return false };
+        if let Some(at) = connection.waiting.iter().position(|waiting| *waiting == pull) {
+            connection.waiting.remove(at);
+            self.close_if_spent(number, effects);
+            return true;
+        }
+        let Some(written) = connection.out.get_mut(id) else { return false };
+        written.pull = None;
+        connection.live -= 1;
+        let (node, since) = (connection.node, written.at);
+        let mut bytes = Vec::new();
+        encode_abort(id, &mut bytes);
+        connection.queued += bytes.len() as u64;
+        effects.push(Effect::Write(Peer::Node(number), bytes));
+        if waited_for && connection.answered <= since {
+            self.retire(node, since, effects);
+        }
+        self.close_if_spent(number, effects);
+        false
+    }
+
+    // Connections.
+
+    /// A connection has come up.
+    pub fn connected(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        connection.up = true;
+        connection.answered = now;
+        if self.held_back {
+            effects.push(Effect::Read(Peer::Node(number), false));
+        }
+    }
+
+    /// Whether a connection is still being made.
+    pub fn is_connecting(&self, number: u32) -> bool {
+        self.connections.get(&number).is_some_and(|connection| !connection.up)
+    }
+
+    /// Bytes for a node have left, so many in all.
+    pub fn written(&mut self, number: u32, total: u64) {
+        if let Some(connection) = self.connections.get_mut(&number) {
+            connection.written = total;
+        }
+    }
+
+    /// A node has sent bytes.
+    pub fn received(&mut self, number: u32, bytes: &[u8], now: Nanos) {
+        if let Some(connection) = self.connections.get_mut(&number) {
+            connection.used = now;
+            connection.decoder.feed(bytes);
+        }
+    }
+
+    /// The next whole answer of a node, and whose pull it ends, if it still is somebody's. Where no more can
+    /// be read, the connection is to be closed.
+    pub fn answer(&mut self, number: u32, now: Nanos) -> Next {
+        let Some(connection) = self.connections.get_mut(&number) else { return Next::Nothing };
+        match connection.decoder.next_answer() {
+            Ok(None) => Next::Nothing,
+            Ok(Some(answer)) => {
+                connection.answered = now;
+                let pull = connection.out.remove(&answer.id).and_then(|written| written.pull);
+                connection.live -= usize::from(pull.is_some());
+                Next::Answer(pull, answer)
+            }
+            Err(fault) => {
+                log::warn!("node {}: {fault}", self.ids.key(connection.node.0));
+                Next::Unreadable
+            }
+        }
+    }
+
+    /// A connection is over, or never came up. Returns the pulls on it in their order, and whether the last
+    /// byte of each had left.
+    pub fn close(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<(PullRef, bool)> {
+        let Some(connection) = self.connections.remove(&number) else { return Vec::new() };
+        effects.push(Effect::Close(Peer::Node(number)));
+        if let Some(pool) = self.pools.get_mut(connection.node.0) {
+            pool.connections.retain(|other| *other != number);
+        }
+        let mut out: Vec<_> = connection.out.values().collect();
+        out.sort_by_key(|written| written.end);
+        let out = out.into_iter().filter_map(|w| w.pull.map(|pull| (pull, w.end <= connection.written)));
+        out.chain(connection.waiting.iter().map(|pull| (*pull, false))).collect()
+    }
+
+    /// Closes a connection that takes no further pulls once it carries none.
+    pub fn close_if_spent(&mut self, number: u32, effects: &mut Vec<Effect>) {
+        if self.connections.get(&number).is_some_and(|c| c.retired && c.load() == 0) {
+            self.close(number, effects);
+        }
+    }
+
+    /// The connections to a node that have finished no answer since then take no further pulls.
+    fn retire(&mut self, node: NodeId, since: Nanos, effects: &mut Vec<Effect>) {
+        let numbers = self.pools.get(node.0).map(|pool| pool.connections.clone()).unwrap_or_default();
+        for number in numbers {
+            if let Some(connection) = self.connections.get_mut(&number) {
+                connection.retired |= connection.answered <= since;
+            }
+            self.close_if_spent(number, effects);
+        }
+    }
+
+    /// Closes connections that carry nothing before the node does, so that no pull crosses its close, and
+    /// forgets the ids of pulls that were given up once they can't come again.
+    pub fn sweep(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        let idle = Nanos(self.limits.idle.0 / 4 * 3);
+        for connection in self.connections.values_mut() {
+            connection.out.retain(|_, written| written.pull.is_some() || written.expires > now);
+        }
+        let old = |c: &Connection| c.load() == 0 && idle > Nanos::ZERO && now.since(c.used) > idle;
+        let spent = self.connections.iter().filter(|(_, connection)| old(connection));
+        let mut spent: Vec<_> = spent.map(|(number, _)| *number).collect();
+        spent.sort();
+        for number in spent {
+            self.close(number, effects);
+        }
+    }
+
+    /// Nodes are read from, or left alone for now.
+    pub fn hold_back(&mut self, held_back: bool, effects: &mut Vec<Effect>) {
+        if self.held_back == held_back {
+            return;
+        }
+        self.held_back = held_back;
+        log::warn!("clients take too little: nodes are {}read from", if held_back { "not " } else { "" });
+        let mut numbers: Vec<_> = self.connections.keys().copied().collect();
+        numbers.sort();
+        effects.extend(numbers.into_iter().map(|number| Effect::Read(Peer::Node(number), !held_back)));
+    }
+
+    /// Whether nodes are left alone for now.
+    pub fn are_held_back(&self) -> bool {
+        self.held_back
+    }
+}
+
+/// What a node's bytes come to next.
+#[derive(Debug)]
+pub enum Next {
+    /// No whole answer yet.
+    Nothing,
+    /// An answer, and the pull that it ends.
+    Answer(Option<PullRef>, copperroute_protocol::nodes::Answer),
+    /// What can't be read.
+    Unreadable,
+}
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -2,7 +2,6 @@
 //! connected or timed comes out as effects, which the event loop carries out.
 
 use crate::changes::{ChangeLog, SILENT_AFTER};
-use crate::clients::Client;
 use crate::clock::Epoch;
 use crate::config::Config;
 use crate::desk::Desk;
@@ -13,6 +12,7 @@
 use copperroute::interface::{DlId, Download, Nanos, NodeEntry, Readiness, TypeId, ZoneId, mix, stable_hash};
 use copperroute_protocol::changes::{Change, Fleet, Line, Listed, Purge, encode_since};
 use copperroute_protocol::clients::{Answer, Message, Request};
+use copperroute_settings::Names;
 use std::net::SocketAddr;
 
 /// After the signal to end nothing new comes any more once this is over.
@@ -100,6 +100,7 @@
     life: Life,
     module: Dispatcher,
     desk: Desk,
+    names: Names,
     log: ChangeLog,
     log_address: SocketAddr,
     known: Vec<Change>,
@@ -118,7 +119,8 @@
             life: Life::default(),
             chance: Chance::new(config.settings.seed.rotate_left(32)),
             module: Dispatcher::new(config.settings),
-            desk: Desk::new(config.names, config.connections, config.limits.memory_mb),
+            names: config.names,
+            desk: Desk::new(config.connections, config.limits.memory_mb),
             most_clients: config.limits.sockets as usize / 2,
             log: ChangeLog { applied: config.known.seq, ..ChangeLog::default() },
             log_address: config.changelog,
@@ -139,9 +141,9 @@
         match event {
             Event::Started => self.start(now),
             Event::Accepted(number) => {
-                self.desk.clients.insert(number, Client::default());
-                if self.desk.clients.len() > self.most_clients {
-                    self.close_idle_clients(number);
+                self.desk.clients.accept(number);
+                if self.desk.clients.count() > self.most_clients {
+                    self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), &mut self.desk.effects);
                 }
             }
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
@@ -168,12 +170,13 @@
                     self.desk.effects.extend(armed.map(|(span, due)| Effect::Arm(now.after(span), due)));
                 }
             }
-            Event::NoDescriptors => self.close_idle_clients(u32::MAX),
+            Event::NoDescriptors => {
+                self.desk.clients.close_idle(IDLE_AT_ONCE, None, &mut self.desk.effects);
+            }
             Event::Connected(_) | Event::Written(..) => {}
         }
         self.hand_on_ends(now);
-        let done = self.last_requests && self.desk.owed == 0 && self.desk.unsent == 0;
-        if self.life.phase() == Phase::Draining && done {
+        if self.life.phase() == Phase::Draining && self.last_requests && self.desk.is_clear() {
             self.life.move_to(Phase::Stopped);
             self.desk.effects.push(Effect::Exit);
         }
@@ -200,8 +203,7 @@
         match due {
             Due::Module(token) => self.module.timer(now, token, &mut self.desk),
             Due::Expiry(dl, serial) => self.expire(now, dl, serial),
-            Due::Connect(number) if self.desk.is_connecting(number) => self.desk.node_closed(number),
-            Due::Connect(_) => {}
+            Due::Connect(number) => self.desk.connect_overdue(number),
             Due::ChangeLog => self.connect_log(),
             Due::Sweep => {
                 self.desk.sweep();
@@ -228,7 +230,7 @@
         self.desk.expire(dl);
         self.hand_on_ends(now);
         if self.desk.is_owed(dl, serial) {
-            self.desk.abandon_unheard(dl);
+            self.desk.answer(dl, Answer::Abandoned);
             self.module.client_gone(now, dl, &mut self.desk);
         }
     }
@@ -236,9 +238,9 @@
     // Clients.
 
     fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
-        let Some(client) = self.desk.clients.get_mut(&number) else { return };
+        let Some(client) = self.desk.clients.get_mut(number) else { return };
         client.decoder.feed(bytes);
-        while let Some(client) = self.desk.clients.get_mut(&number) {
+        while let Some(client) = self.desk.clients.get_mut(number) {
             match client.decoder.next_message() {
                 Ok(None) => return,
                 Ok(Some(Message::Request(tag, _))) if client.open.contains_key(&tag) => {
@@ -248,7 +250,7 @@
                 Ok(Some(Message::Request(tag, request))) => self.download(now, number, tag, *request),
                 Ok(Some(Message::Unusable(tag, why))) => {
                     log::warn!("client: {why}");
-                    self.desk.write_client(number, tag, Answer::Abandoned);
+                    self.desk.write(number, tag, Answer::Abandoned);
                 }
                 Ok(Some(Message::Abort(tag))) => {
                     let dl = client.open.get(&tag).copied();
@@ -256,7 +258,7 @@
                 }
                 Ok(Some(Message::Health(tag))) => {
                     let up = self.life.phase() == Phase::Serving;
-                    self.desk.write_client(number, tag, if up { Answer::Up } else { Answer::Down });
+                    self.desk.write(number, tag, if up { Answer::Up } else { Answer::Down });
                 }
                 Err(fault) => {
                     log::warn!("client: {fault}");
@@ -269,11 +271,10 @@
     }
 
     fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
-        let content_type =
-            self.desk.names.content_types.iter().position(|name| *name == request.content_type);
+        let content_type = self.names.content_types.iter().position(|name| *name == request.content_type);
         let Some(content_type) = content_type else {
             log::warn!("client: no content type '{}'", request.content_type.escape_default());
-            return self.desk.write_client(client, tag, Answer::Abandoned);
+            return self.desk.write(client, tag, Answer::Abandoned);
         };
         let object_hash = stable_hash(request.object.as_bytes());
         let (part, group) = (request.part, request.group);
@@ -304,16 +305,6 @@
         self.desk.remove_client(number).into_iter().for_each(|dl| self.forsake(now, dl));
     }
 
-    /// Closes the oldest connections on which nothing is open; the client asks again on a new one.
-    fn close_idle_clients(&mut self, newest: u32) {
-        let idle = self.desk.clients.iter().filter(|(number, client)| client.is_idle() && **number != newest);
-        let mut idle: Vec<_> = idle.map(|(number, _)| *number).collect();
-        idle.sort();
-        idle.into_iter().take(IDLE_AT_ONCE).for_each(|number| {
-            self.desk.remove_client(number);
-        });
-    }
-
     // The change log.
 
     fn connect_log(&mut self) {
@@ -425,8 +416,8 @@
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
             hash: stable_hash(listed.id.as_bytes()),
-            zone: ZoneId(place(&self.desk.names.zones, &listed.zone)),
-            kind: place(&self.desk.names.kinds, &listed.kind),
+            zone: ZoneId(place(&self.names.zones, &listed.zone)),
+            kind: place(&self.names.kinds, &listed.kind),
             cell: listed.cell.unwrap_or(0),
             readiness,
             weight: listed.weight.unwrap_or(1.0),
