Compare names as the settings list them; test late readers and running out of descriptors

Found by reading: a zone, kind or content type with a blank or comma in its name is listed with underscores, as on the wire, but was compared as clients and the change log write it; every cache would have stood in no location. A null in the settings counted as a value. The codec of nodes takes the pull as it was ordered instead of a copy of its fields. New tests on loopback: a client that reads only after 32 answers of 240 KB gets every byte; with 24 descriptors, 62 clients cost no download and the newest is served.

--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -219,13 +219,8 @@
                 part: request.part,
                 wait: until.since(now),
                 source: out.source.as_deref(),
-                rank: order.rank,
-                // It means the same moment as when it was ordered.
-                max_age: order.max_age.map(|age| age.after(now.since(out.at))),
-                join: order.join,
-                held_only: order.held_only,
-                no_parent_copy: order.no_parent_copy,
-                renew: order.renew,
+                // The age means the same moment as when it was ordered.
+                order: Pull { max_age: order.max_age.map(|age| age.after(now.since(out.at))), ..*order },
                 held: request.held.as_deref(),
                 body: &request.body,
             };
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -12,7 +12,7 @@
 use copperroute::interface::{DlId, Download, Nanos, NodeEntry, Readiness, TypeId, ZoneId, mix, stable_hash};
 use copperroute_protocol::changes::{Change, Fleet, Line, Listed, Purge, encode_since};
 use copperroute_protocol::clients::{Answer, Message, Request};
-use copperroute_settings::Names;
+use copperroute_settings::{Names, place};
 use std::net::SocketAddr;
 
 /// After the signal to end nothing new comes any more once this is over.
@@ -271,7 +271,7 @@
     }
 
     fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
-        let content_type = self.names.content_types.iter().position(|name| *name == request.content_type);
+        let content_type = place(&self.names.content_types, &request.content_type);
         let Some(content_type) = content_type else {
             log::warn!("client: no content type '{}'", request.content_type.escape_default());
             return self.desk.write(client, tag, Answer::Abandoned);
@@ -282,7 +282,7 @@
         let (dl, object, expires) = self.desk.open(client, tag, request);
         let download = Download {
             dl,
-            content_type: TypeId(content_type as u32),
+            content_type: TypeId(content_type),
             object,
             copy_hash: mix(object_hash.wrapping_add(part)),
             object_hash,
@@ -406,9 +406,7 @@
     }
 
     fn entry(&mut self, listed: &Listed) -> NodeEntry {
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|known| known == name).map_or(u32::MAX, |at| at as u32)
-        };
+        let place = |names: &[String], name: &str| place(names, name).unwrap_or(u32::MAX);
         let readiness = listed.state.into();
         let started_ms = listed.started_ms.filter(|ms| *ms > 0);
         let started = started_ms.map_or(Nanos::ZERO, |ms| self.epoch.time(ms));
--- a/dispatcher/tests/dispatcher/loopback.rs
+++ b/dispatcher/tests/dispatcher/loopback.rs
@@ -56,6 +56,11 @@
 
 impl Rig {
     fn start() -> Rig {
+        Rig::limited("true")
+    }
+
+    /// The same after a command of the shell has set limits.
+    fn limited(limits: &str) -> Rig {
         let (tell, asked) = channel();
         let log = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let own = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -68,8 +73,9 @@
         }
         let path = std::env::temp_dir().join(format!("copperroute-{}.json", address.replace(':', "-")));
         std::fs::write(&path, config).expect("a temporary file");
-        let program = Command::new(env!("CARGO_BIN_EXE_copperroute"))
-            .args(["serve", "--config"])
+        let serve = format!("{limits}; exec \"$0\" serve --config \"$1\"");
+        let program = Command::new("sh")
+            .args(["-c", &serve, env!("CARGO_BIN_EXE_copperroute")])
             .arg(&path)
             .stderr(Stdio::null())
             .spawn()
@@ -114,22 +120,28 @@
     }
 }
 
-/// An answer of four bulk strings.
-fn answer(stream: &TcpStream) -> String {
-    let mut reader = BufReader::new(stream);
+/// An answer's four bulk strings.
+fn items(reader: &mut impl BufRead) -> Vec<Vec<u8>> {
     let mut line = String::new();
-    let mut items = Vec::new();
     reader.read_line(&mut line).expect("an answer");
     assert_eq!(line, "*4\r\n");
-    for _ in 0..4 {
+    let mut item = || {
         line.clear();
         reader.read_line(&mut line).expect("a length");
         let length: usize = line.trim_end()[1..].parse().expect("a length");
         let mut item = vec![0; length + 2];
         reader.read_exact(&mut item).expect("an item");
-        items.push(item[..length].escape_ascii().to_string());
-    }
-    items.join(" ").trim_end().to_string() + "\n"
+        item.truncate(length);
+        item
+    };
+    (0..4).map(|_| item()).collect()
+}
+
+/// An answer as a line.
+fn answer(stream: &TcpStream) -> String {
+    let words: Vec<_> =
+        items(&mut BufReader::new(stream)).iter().map(|w| w.escape_ascii().to_string()).collect();
+    words.join(" ").trim_end().to_string() + "\n"
 }
 
 /// Who is asked depends on hashes that are the same in every run; what varies from run to run is the wait.
@@ -230,3 +242,51 @@
     "#]]
     .assert_eq(&trace);
 }
+
+#[test]
+fn running_out_of_descriptors_ends_nothing() {
+    let rig = Rig::limited("ulimit -n 24");
+    let mut busy = rig.client();
+    busy.write_all(&request(7, "image", "9b1f", UNHURRIED)).expect("the program reads");
+    let mut asked = rig.asked();
+    let idle: Vec<_> = (0..60).map(|_| rig.client()).collect();
+    let mut last = rig.client();
+    last.write_all(&message("HEALTH", 1)).expect("the program reads");
+    let mut trace = answer(&last);
+    asked.back.write_all(b"9b1f ok why=local 1\r\nx\r\n").expect("the program reads");
+    trace += &answer(&busy);
+    drop(idle);
+    expect![[r#"
+        1 UP
+        7 OK  x
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_client_that_reads_late_gets_every_byte() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    let sized = |tag: u64| vec![b'a' + (tag % 26) as u8; 240_000 - tag as usize];
+    for tag in 1..=32 {
+        client
+            .write_all(&request(tag, "image", &format!("9b{tag:02}"), UNHURRIED))
+            .expect("the program reads");
+    }
+    let mut given = 0;
+    while given < 32 {
+        let mut asked = rig.asked();
+        let id = asked.line.split(' ').nth(1).expect("an id").to_string();
+        let body = sized(id[2..].parse().expect("a tag"));
+        asked.back.write_all(format!("{id} ok why=local {}\r\n", body.len()).as_bytes()).expect("it reads");
+        asked.back.write_all(&body).expect("it reads");
+        asked.back.write_all(b"\r\n").expect("it reads");
+        given += 1;
+    }
+    let mut reader = BufReader::new(&client);
+    let mut whole: Vec<_> = (0..32).map(|_| items(&mut reader)).collect();
+    whole.sort_by_key(|items| String::from_utf8_lossy(&items[0]).parse::<u64>().expect("a tag"));
+    for (at, items) in whole.iter().enumerate() {
+        assert!(items[1] == b"OK" && items[3] == sized(at as u64 + 1), "answer {}", at + 1);
+    }
+}
--- a/protocol/src/nodes.rs
+++ b/protocol/src/nodes.rs
@@ -1,14 +1,14 @@
 //! Nodes: lines of words; where the last word is a length, so many bytes follow.
 
 use crate::incoming::{Incoming, Unreadable, fields};
-use copperroute::interface::{Nanos, Outcome, Remark, Report};
+use copperroute::interface::{Nanos, Outcome, Pull, Remark, Report};
 use std::fmt::Write as _;
 
 const LONGEST_LINE: usize = 4096;
 const LONGEST_BODY: usize = 4 * 1024 * 1024;
 
 /// A pull as it goes to a node.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Fetch<'a> {
     /// The download's own id.
     pub id: &'a str,
@@ -22,18 +22,8 @@
     pub wait: Nanos,
     /// Who fills a miss; nobody if absent.
     pub source: Option<&'a str>,
-    /// The rank at which the copy is kept.
-    pub rank: u8,
-    /// The oldest copy that will do; `None` for the content type's own limit.
-    pub max_age: Option<Nanos>,
-    /// Join a fill that is under way.
-    pub join: bool,
-    /// The source gives only what it holds.
-    pub held_only: bool,
-    /// The parent keeps no copy.
-    pub no_parent_copy: bool,
-    /// Serve an ageing copy and fetch it anew behind.
-    pub renew: bool,
+    /// The pull as it was ordered; its age limit is that of the moment of writing.
+    pub order: Pull,
     /// The tag of the client's copy.
     pub held: Option<&'a str>,
     /// What a write brings.
@@ -76,13 +66,14 @@
     );
     // Writing to a string cannot fail.
     let _ = fetch.source.map_or(Ok(()), |source| write!(line, ",src={source}"));
-    let _ = if fetch.rank > 0 { write!(line, ",keep={}", fetch.rank) } else { Ok(()) };
-    let _ = fetch.max_age.map_or(Ok(()), |age| write!(line, ",maxage={}", millis(age)));
+    let order = &fetch.order;
+    let _ = if order.rank > 0 { write!(line, ",keep={}", order.rank) } else { Ok(()) };
+    let _ = order.max_age.map_or(Ok(()), |age| write!(line, ",maxage={}", millis(age)));
     let flags = [
-        (fetch.join, "share"),
-        (fetch.held_only, "peek"),
-        (fetch.no_parent_copy, "pass"),
-        (fetch.renew, "swr"),
+        (order.join, "share"),
+        (order.held_only, "peek"),
+        (order.no_parent_copy, "pass"),
+        (order.renew, "swr"),
     ];
     let flags: Vec<_> = flags.iter().filter(|flag| flag.0).map(|flag| flag.1).collect();
     let _ = if flags.is_empty() { Ok(()) } else { write!(line, ",flags={}", flags.join("+")) };
--- a/protocol/tests/codecs.rs
+++ b/protocol/tests/codecs.rs
@@ -1,7 +1,7 @@
 //! The codecs, fed whole, byte by byte and in random cuts: the same messages come out.
 
 use copperroute::chance::Chance;
-use copperroute::interface::Nanos;
+use copperroute::interface::{Nanos, NodeId, Pull};
 use copperroute_protocol::{changes, clients, nodes};
 use expect_test::expect;
 
@@ -129,17 +129,33 @@
         object: "7f3a",
         part: 3,
         wait: Nanos(1_500_900_000),
-        ..nodes::Fetch::default()
+        source: None,
+        order: Pull {
+            node: NodeId(0),
+            source: NodeId(0),
+            try_for: None,
+            rank: 0,
+            max_age: None,
+            join: false,
+            held_only: false,
+            no_parent_copy: false,
+            renew: false,
+        },
+        held: None,
+        body: b"",
     };
     let full = nodes::Fetch {
         source: Some("p-1"),
-        rank: 3,
-        // Under a millisecond must not become 0, which stands for no limit.
-        max_age: Some(Nanos(900_000)),
-        join: true,
-        held_only: true,
-        no_parent_copy: true,
-        renew: true,
+        order: Pull {
+            rank: 3,
+            // Under a millisecond must not become 0, which stands for no limit.
+            max_age: Some(Nanos(900_000)),
+            join: true,
+            held_only: true,
+            no_parent_copy: true,
+            renew: true,
+            ..plain.order
+        },
         held: Some("4be0"),
         body: b"\r\nx",
         ..plain.clone()
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -35,11 +35,21 @@
     pub kinds: Vec<String>,
 }
 
+/// The place of a name among those of the settings.
+pub fn place(names: &[String], name: &str) -> Option<u32> {
+    let name = as_listed(name);
+    names.iter().position(|known| *known == name).map(|at| at as u32)
+}
+
+/// A name as the wire writes it, where lists are set apart by commas.
+fn as_listed(name: &str) -> String {
+    name.replace([' ', ','], "_")
+}
+
 /// A plain value as the wire writes it.
 fn plain(value: &Value) -> String {
     match value {
-        Value::Null => String::new(),
-        Value::String(text) => text.replace([' ', ','], "_"),
+        Value::String(text) => as_listed(text),
         other => other.to_string(),
     }
 }
@@ -76,6 +86,7 @@
             Value::Array(items) => {
                 self.0.insert(path.to_string(), items.iter().map(plain).collect::<Vec<_>>().join(","));
             }
+            Value::Null => {}
             value => {
                 self.0.insert(path.to_string(), plain(value));
             }
@@ -222,13 +233,15 @@
 
 #[cfg(test)]
 mod tests {
-    use super::Options;
+    use super::{Options, place};
     use expect_test::expect;
 
     #[test]
     fn json_is_flattened_to_the_paths_of_the_wire() {
-        let text = r#"{"a":{"b":1.5,"c":true},"flavors":["x, y","z"],"services":[{"name":"n"},{"name":"m"}],"e":[]}"#;
+        let text = r#"{"a":{"b":1.5,"c":true},"flavors":["x, y","z"],"services":[{"name":"n"},{"name":"m"}],"e":[],"f":null}"#;
         let options = Options::from_json(&serde_json::from_str(text).expect("valid JSON"));
+        let kinds = options.names("flavors");
+        assert_eq!(["x, y", "z", "x"].map(|name| place(&kinds, name)), [Some(0), Some(1), None]);
         let mut pairs: Vec<_> = options.0.into_iter().collect();
         pairs.sort();
         expect![[r#"
