Write nothing more to a node whose pulls were told as never sent

And where a write failed after some bytes had left, the reducer heard of the end first, and told those pulls as never sent. Now a node's connection is closed without a further byte, and what has left is told before the end. Tested: a client's answers given before its connection is closed for a bad frame still reach it.

--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -244,8 +244,11 @@
 
     fn close(&mut self, peer: Peer) {
         if let Some(mut connection) = self.connections.remove(&peer) {
-            // What was given to it before goes out as far as it can at once.
-            let _ = connection.flush();
+            // A client's answers go out as far as they can at once. What a node was not sent by now counts as
+            // never sent, and may be on its way to another: not a byte more.
+            if matches!(peer, Peer::Client(_)) {
+                let _ = connection.flush();
+            }
             self.handle.remove(connection.token);
         }
     }
@@ -311,13 +314,14 @@
         let before = connection.left;
         let flushed = connection.flush();
         let left = connection.left;
-        if flushed.is_err() {
-            return self.closed(peer);
-        }
         self.set_interest(peer);
+        // First what has left: a pull that left whole may have run, though the connection has ended.
         if left > before {
             self.reduce(Event::Written(peer, left));
         }
+        if flushed.is_err() {
+            self.closed(peer);
+        }
     }
 
     /// Follows what the connection waits for.
@@ -347,6 +351,7 @@
     fn flush(&mut self) -> io::Result<()> {
         while self.at < self.unwritten.len() {
             match (&*self.stream).write(&self.unwritten[self.at..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => {
                     self.at += count;
                     self.left += count as u64;
--- a/dispatcher/tests/dispatcher/loopback.rs
+++ b/dispatcher/tests/dispatcher/loopback.rs
@@ -290,3 +290,16 @@
         assert!(items[1] == b"OK" && items[3] == sized(at as u64 + 1), "answer {}", at + 1);
     }
 }
+
+#[test]
+fn what_was_answered_before_a_client_is_closed_still_reaches_it() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    let mut bytes = message("HEALTH", 1);
+    bytes.extend_from_slice(b"GET / HTTP/1.1\r\n");
+    client.write_all(&bytes).expect("the program reads");
+    let mut all = Vec::new();
+    client.read_to_end(&mut all).expect("it closes");
+    expect![[r#"*4\r\n$1\r\n1\r\n$2\r\nUP\r\n$0\r\n\r\n$0\r\n\r\n"#]]
+        .assert_eq(&all.escape_ascii().to_string());
+}
