Order anew what waits to be sent when a purge is heard

Found by the storm test once it checked ages: a pull ordered before a purge and written after it, when its connection came up, named no age. Lines at fault: desk.rs, hand_over writes what was ordered. Now what waits for the purged object or group is taken back and ends as not sent, as for a drain, and the module orders it with the age. Both ways were told apart by the new trace: before 'fetch' without maxage, now with maxage=170. Also checked by the storm test from now on: no pull without a fitting age for 6 s after a purge.

--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -284,12 +284,26 @@
 
     /// A node takes no new work: what was not sent to it, or names it as source, is dropped.
     pub fn withdraw(&mut self, node: NodeId, readiness: Readiness) {
+        self.take_back(|_, out| out.pull.node == node || out.pull.source == node);
+        self.nodes.withdraw(node, readiness, self.now, &mut self.effects);
+    }
+
+    /// An object or group was purged: what waits to be sent was ordered with an older copy in mind.
+    pub fn purged(&mut self, object: Option<&str>, group: Option<u64>) {
+        self.take_back(|held, _| match object {
+            Some(object) => held.request.object == object,
+            None => held.request.group == group,
+        });
+    }
+
+    /// Ends the pulls that are meant and were not sent, so that the module orders anew.
+    fn take_back(&mut self, meant: impl Fn(&Held, &HeldPull) -> bool) {
         let held = &self.held;
         let meant = |pull: &PullRef| {
-            let out = held.get(pull.dl.0).and_then(|held| held.pulls.get(pull.number as usize));
-            out.is_some_and(|out| out.pull.node == node || out.pull.source == node)
+            let held = held.get(pull.dl.0);
+            held.is_some_and(|held| held.pulls.get(pull.number as usize).is_some_and(|out| meant(held, out)))
         };
-        for pull in self.nodes.withdraw(node, readiness, self.now, meant, &mut self.effects) {
+        for pull in self.nodes.take_back(meant) {
             self.end(pull, Outcome::NotSent, None);
         }
     }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -148,31 +148,27 @@
         all.filter(|node| listed(node) && !named.contains(node)).collect()
     }
 
-    /// A node takes no new work: its connections take no further pulls. Returns the pulls not yet written,
-    /// to any node, that are `meant`.
-    pub fn withdraw(
-        &mut self,
-        node: NodeId,
-        readiness: Readiness,
-        now: Nanos,
-        meant: impl Fn(&PullRef) -> bool,
-        effects: &mut Vec<Effect>,
-    ) -> Vec<PullRef> {
+    /// A node takes no new work: its connections take no further pulls.
+    pub fn withdraw(&mut self, node: NodeId, readiness: Readiness, now: Nanos, effects: &mut Vec<Effect>) {
         if let Some(pool) = self.pools.get_mut(node.0) {
             pool.readiness = readiness;
         }
-        let mut dropped: Vec<PullRef> = Vec::new();
-        for connection in self.connections.values_mut() {
-            dropped.extend(connection.waiting.iter().filter(|pull| meant(pull)));
-            connection.waiting.retain(|pull| !meant(pull));
-        }
-        dropped.sort_by_key(|pull| (pull.dl.0, pull.number));
         self.retire(node, now, effects);
-        dropped
     }
 
     // Pulls.
 
+    /// Takes back the pulls, to any node, that are meant and not yet written.
+    pub fn take_back(&mut self, meant: impl Fn(&PullRef) -> bool) -> Vec<PullRef> {
+        let mut back: Vec<PullRef> = Vec::new();
+        for connection in self.connections.values_mut() {
+            back.extend(connection.waiting.iter().filter(|pull| meant(pull)));
+            connection.waiting.retain(|pull| !meant(pull));
+        }
+        back.sort_by_key(|pull| (pull.dl.0, pull.number));
+        back
+    }
+
     /// Puts a pull of a download on a connection to a node, made if need be; nothing if there is none to be
     /// had.
     pub fn take(
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -378,8 +378,10 @@
                     self.module.object_purged(now, stable_hash(object.as_bytes()), age, &mut self.desk)
                 }
                 (None, Some(group)) => self.module.group_purged(now, *group, age, &mut self.desk),
-                (None, None) => log::warn!("change log: a purge of nothing"),
+                (None, None) => return log::warn!("change log: a purge of nothing"),
             }
+            self.desk.purged(object.as_deref(), *bucket);
+            self.hand_on_ends(now);
         }
     }
 
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -239,6 +239,24 @@
     .assert_eq(&play.take());
 }
 
+#[test]
+fn what_waits_to_be_sent_when_a_purge_is_heard_asks_for_a_newer_copy() {
+    let mut play = Play::new();
+    play.calm = false;
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.pass(100);
+    play.log(1, r#"{"seq":2,"invalidate":{"object":"7f3a","time":1764576000080}}"#);
+    play.pass(150);
+    play.event(Event::Connected(Peer::Node(1)));
+    play.event(Event::Connected(Peer::Node(2)));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        connect Node(2) 127.0.0.1:6002
+        Node(2) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1250,maxage=170 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
 #[test]
 fn the_change_log_is_followed_without_a_gap() {
     let mut play = Play::new();
--- a/dispatcher/tests/dispatcher/storm.rs
+++ b/dispatcher/tests/dispatcher/storm.rs
@@ -47,6 +47,8 @@
     log: u32,
     seq: u64,
     withdrawn: HashSet<String>,
+    /// When the object was last purged, as far as was heard.
+    purged: Option<Nanos>,
     exited: bool,
 }
 
@@ -70,6 +72,7 @@
             log: 0,
             seq: 1,
             withdrawn: HashSet::new(),
+            purged: None,
             exited: false,
         }
     }
@@ -155,6 +158,13 @@
         let source = line.split("src=").nth(1).and_then(|rest| rest.split([',', ' ']).next()).unwrap_or("");
         let node = self.connections[&peer].clone();
         assert!(!self.withdrawn.contains(&node) && !self.withdrawn.contains(source), "{line}: drains");
+        // Copies from before a purge may lie about for 6 s.
+        if let Some(purged) = self.purged.filter(|at| self.now.since(*at) <= Nanos(6_000_000_000)) {
+            let limit =
+                line.split("maxage=").nth(1).and_then(|rest| rest.split([',', ' ']).next()?.parse().ok());
+            let limit: u64 = limit.expect("an age limit after a purge");
+            assert!(limit <= (self.now.since(purged).0 / 1_000_000).max(1), "{line}: older than the purge");
+        }
         let fate = self.chance.digit() % 16;
         let asked = self.asked.get_mut(&tag).expect("asked for");
         assert!(!(asked.post && asked.may_have_run > 0), "{tag}: sent twice");
@@ -239,11 +249,11 @@
         };
         let (zone, kind) = if id.starts_with('s') { ("east", "box") } else { ("hub", "parent") };
         let state = ["active", "leaving", "left", "active"][self.chance.digit() as usize % 4];
-        let started =
-            if self.one_in(2) { 1_764_576_000_000 + (self.now.0 / 1_000_000 - 86_400_000) } else { 0 };
+        let unix_ms = 1_764_576_000_000 + self.now.0 / 1_000_000 - 86_400_000;
+        let started = if self.one_in(2) { unix_ms } else { 0 };
         let line = match self.chance.digit() % 8 {
             0 => format!(
-                "{{\"seq\":{},\"invalidate\":{{\"object\":\"7f3a\",\"time\":1764576000000}}}}\n",
+                "{{\"seq\":{},\"invalidate\":{{\"object\":\"7f3a\",\"time\":{unix_ms}}}}}\n",
                 self.seq
             ),
             1 => "not a line\n".to_string(),
@@ -260,8 +270,14 @@
         }
         // What is told is heeded at once, or not heard at all if the connection is not up.
         let newly = known && state != "active" && self.withdrawn.insert(id.to_string());
+        let before = self.purged;
+        if line.contains("invalidate") {
+            self.purged = Some(Nanos(self.now.0 / 1_000_000 * 1_000_000));
+        }
         self.event(Event::Received(Peer::ChangeLog(self.log), line.as_bytes()));
-        if newly && self.reducer.applied() != self.seq {
+        let heard = self.reducer.applied() == self.seq;
+        self.purged = if heard { self.purged } else { before };
+        if newly && !heard {
             self.withdrawn.remove(id);
         }
     }
