Read what has come before time is called on it

Seen in a test that stops the program for a moment (SIGSTOP, SIGCONT) while a node answers: on waking the overdue timer came first, the healthy node was set aside, its pull called off, and the download ended BUSY. Line at fault: event_loop.rs, the turn handed on due timers before ready sockets. Any stall does the same: other processes on the core, a slow log. Now ready sockets are read first, once each, so timers wait for a bounded time.

--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -116,12 +116,14 @@
         if std::mem::take(&mut inbox.terminate) {
             carrier.reduce(Event::Terminate);
         }
-        for due in std::mem::take(&mut inbox.due) {
-            carrier.reduce(Event::Due(due));
-        }
+        // What has come is read before time is called on it: after a pause of the machine's all seems overdue.
+        // Each connection is read once, so what is due waits for a bounded time.
         for (peer, readiness) in std::mem::take(&mut inbox.ready) {
             carrier.ready(peer, readiness, &mut scratch);
         }
+        for due in std::mem::take(&mut inbox.due) {
+            carrier.reduce(Event::Due(due));
+        }
         if std::mem::take(&mut inbox.rested) {
             carrier.handle.enable(&listening).map_err(said("listener"))?;
         }
--- a/dispatcher/tests/dispatcher/loopback.rs
+++ b/dispatcher/tests/dispatcher/loopback.rs
@@ -105,11 +105,9 @@
         self.log.write_all(line.as_bytes()).expect("the program reads");
     }
 
-    fn terminate(&self) {
-        let id = self.program.id().to_string();
-        assert!(
-            Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().expect("a shell").success()
-        );
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.program.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 }
 
@@ -221,7 +219,7 @@
     let mut client = rig.client();
     client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
     let mut asked = rig.asked();
-    rig.terminate();
+    rig.signal("TERM");
     let mut late = rig.client();
     while {
         late.write_all(&message("HEALTH", 1)).expect("the program reads");
@@ -303,3 +301,24 @@
     expect![[r#"*4\r\n$1\r\n1\r\n$2\r\nUP\r\n$0\r\n\r\n$0\r\n\r\n"#]]
         .assert_eq(&all.escape_ascii().to_string());
 }
+
+#[test]
+fn after_a_pause_of_its_own_it_reads_before_it_calls_a_node_silent() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    client.write_all(&request(7, "image", "9b1f", ",need=1500,timeout=15000")).expect("the program reads");
+    let mut asked = rig.asked();
+    rig.signal("STOP");
+    asked.back.write_all(b"9b1f ok why=local 1\r\nx\r\n").expect("it is kept for the program");
+    // The pull is overdue after 0.9 s.
+    thread::sleep(Duration::from_millis(1_200));
+    rig.signal("CONT");
+    let mut trace = answer(&client);
+    client.write_all(&request(8, "image", "9b20", UNHURRIED)).expect("the program reads");
+    trace += &shown(&rig.asked());
+    expect![[r#"
+        7 OK  x
+        s-a: fetch 9b20 lane=image,name=7f3a,piece=0,ttl=T,keep=1 0
+    "#]]
+    .assert_eq(&trace);
+}
