--- a/src/decide.rs
+++ b/src/decide.rs
@@ -59,7 +59,7 @@
     nodes: Nodes,
     dls: Slots<Dl>,
     shadows: Shadows,
-    fills: Ring<64>, // kept fills by the quarter powers of two of their ratio
+    fills: Fills, // kept fills by their ratio
     link: Link,
     fetch_usual_s: f64,
     fetches: Ring<2>, // fetches from the origin that came in time, and that were late or refused
@@ -78,7 +78,7 @@
             nodes: Nodes::new(s.zone, s.parent_kind, s.origin_kind),
             dls: Slots::default(),
             shadows: Shadows::default(),
-            fills: Ring::new(FILLS_SEEN, BUCKETS),
+            fills: Fills::new(FILLS_SEEN, BUCKETS),
             link: Link::new(JUDGED_OVER, BUCKETS),
             fetch_usual_s: FETCH_USUAL_S,
             fetches: Ring::new(JUDGED_OVER, BUCKETS),
@@ -109,9 +109,7 @@
         let told = d.size_kb.filter(|_| self.s.client_kb_per_s > 0.0).map(|kb| kb / self.s.client_kb_per_s);
         // Where sizes are not told, what its object took, or its content type takes, stands in.
         let work_s = told.or(seen).unwrap_or(self.row(d).mean_work_s);
-        let (stage, pulls, missed_at, may_have_run) = (Stage::Taken, Vec::new(), None, None);
-        let dl = Dl { d: *d, stage, work_s, keep, pulls, missed_at, may_have_run };
-        self.dls.put(d.dl.0, dl);
+        self.dls.put(d.dl.0, Dl::new(*d, work_s, keep));
         self.pull(now, d.dl, out);
     }
 
@@ -191,8 +189,7 @@
         let (storage_cost, rate) = (1.0 / HORIZON_S, z / gap_s);
         let keep_benefit = shadow.hops * rate - storage_cost;
         let ratio = shadow.hops * rate / storage_cost;
-        let fills = self.fills.sums(now);
-        let (above, all): (f64, f64) = (fills[power(ratio)..].iter().sum(), fills.iter().sum());
+        let (above, all) = self.fills.from(now, ratio);
         let rarer = |share: f64| above < share * all;
         let rank = match keep_benefit {
             b if b <= 0.0 => return Keep { hit_rank: 1, fill_rank: 0, ratio },
@@ -218,7 +215,7 @@
         let row = &mut self.types[dl.d.content_type.0 as usize];
         row.mean_work_s += 0.02 * own_s.map_or(0.0, |own_s| own_s - row.mean_work_s);
         let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
-        self.fills.add(now, power(dl.keep.ratio), f64::from(u8::from(filled && dl.keep.fill_rank > 0)));
+        self.fills.add(now, dl.keep.ratio, filled && dl.keep.fill_rank > 0);
         // Where fills by way of the origin are not told, the source that was named stands in.
         let from_origin = Some(sent.source) == self.nodes.origin() && !self.s.fills_told;
         // The slot may have been given to another object meanwhile.
@@ -436,11 +433,7 @@
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
             Repeat::Deduped { window, .. } if now.since(sent) >= window => false,
-            Repeat::Deduped { scope, .. } => match scope {
-                DedupScope::All => true,
-                DedupScope::Zone => a.e.zone == b.e.zone,
-                DedupScope::Cell => a.e.cell == b.e.cell,
-            },
+            Repeat::Deduped { scope, .. } => scope.holds_both(&a.e, &b.e),
         }
     }
 
@@ -692,13 +685,7 @@
 
     /// Changed entries. A node that drains or is gone leaves every choice at once (rule 3).
     pub fn nodes_changed(&mut self, _now: Nanos, entries: &[NodeEntry], _out: &mut impl Outbox) {
-        for e in entries {
-            match self.nodes.get_mut(e.node) {
-                Some(n) => n.relist(e),
-                None => self.nodes.put(Node::new(*e, JUDGED_OVER, self.s.fall_for, BUCKETS)),
-            }
-        }
-        self.nodes.sort();
+        self.nodes.relist(entries, |e| Node::new(*e, JUDGED_OVER, self.s.fall_for, BUCKETS));
         // Where the link is not told, it is judged from the caches' own links.
         let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
         let judged = 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>();
@@ -721,8 +708,3 @@
         self.purges.add(group, true, now.since(age));
     }
 }
-
-/// The quarter power of two of a ratio, as a place among the counted fills.
-fn power(ratio: f64) -> usize {
-    ((4.0 * ratio.max(1.0).log2()) as usize).min(63)
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -92,6 +92,17 @@
     Cell,
 }
 
+impl DedupScope {
+    /// Whether a repeat at `b` is known where the first went to `a`.
+    pub fn holds_both(self, a: &NodeEntry, b: &NodeEntry) -> bool {
+        match self {
+            DedupScope::All => true,
+            DedupScope::Zone => a.zone == b.zone,
+            DedupScope::Cell => a.cell == b.cell,
+        }
+    }
+}
+
 /// What the settings say of a content type.
 #[derive(Debug, Clone)]
 pub struct ContentType {
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,6 +123,40 @@
     pub may_have_run: Option<(Nanos, NodeId)>,
 }
 
+impl Dl {
+    /// A download just taken, with its sending time and what MC3 says.
+    pub fn new(d: Download, work_s: f64, keep: Keep) -> Self {
+        let (pulls, missed_at, may_have_run) = (Vec::new(), None, None);
+        Dl { d, stage: Stage::Taken, work_s, keep, pulls, missed_at, may_have_run }
+    }
+}
+
+/// Recent kept fills, counted by the quarter powers of two of hops times rate over storage cost.
+#[derive(Debug)]
+pub struct Fills(Ring<64>);
+
+impl Fills {
+    /// None yet; counted over a window.
+    pub fn new(seen_over: Nanos, buckets: usize) -> Self {
+        Fills(Ring::new(seen_over, buckets))
+    }
+
+    fn place(ratio: f64) -> usize {
+        ((4.0 * ratio.max(1.0).log2()) as usize).min(63)
+    }
+
+    /// Counts a fill, if it was kept.
+    pub fn add(&mut self, now: Nanos, ratio: f64, kept: bool) {
+        self.0.add(now, Self::place(ratio), f64::from(u8::from(kept)));
+    }
+
+    /// How many had this ratio or more, and how many there were.
+    pub fn from(&self, now: Nanos, ratio: f64) -> (f64, f64) {
+        let counts = self.0.sums(now);
+        (counts[Self::place(ratio)..].iter().sum(), counts.iter().sum())
+    }
+}
+
 /// A shadow entry.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Shadow {
@@ -299,18 +333,23 @@
         self.slots.get_mut(id.0)
     }
 
-    /// Adds a node.
-    pub fn put(&mut self, node: Node) {
-        self.slots.put(node.e.node.0, node);
-    }
-
     /// Takes every node off the list.
     pub fn unlist_all(&mut self) {
         self.slots.iter_mut().for_each(|n| n.listed = false);
     }
 
-    /// Sorts the listed nodes anew; to be called when the list has changed.
-    pub fn sort(&mut self) {
+    /// Takes newer lines of the list, with what is `new` made of those not known, and sorts the listed nodes.
+    pub fn relist(&mut self, entries: &[NodeEntry], new: impl Fn(&NodeEntry) -> Node) {
+        for e in entries {
+            match self.get_mut(e.node) {
+                Some(n) => n.relist(e),
+                None => self.slots.put(e.node.0, new(e)),
+            }
+        }
+        self.sort();
+    }
+
+    fn sort(&mut self) {
         let kind = |kind: Option<u32>| move |n: &&Node| n.listed && kind == Some(n.e.kind);
         let (parent, origin, zone) = (kind(self.parent_kind), kind(self.origin_kind), self.zone);
         let cache = |n: &&Node| n.listed && n.e.zone == zone && !parent(n) && !origin(n);
