Give no further bytes to clients that do not read while memory runs short

Found by reading: a few clients that stop reading, each with 32 answers of 240 KB, filled a quarter of the memory, and then nodes were not read from, so the downloads of every client stood still and nodes counted as silent. Now over an eighth of the memory such a client's further answers are abandoned (they may have run) and the others are served on. Test: two answers to a client that does not read, then its third is FAILED while another client's comes whole.

--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -60,6 +60,11 @@
         self.by_number.get_mut(&number)
     }
 
+    /// Whether a client reads so slowly that it is not read from.
+    pub fn is_held_back(&self, number: u32) -> bool {
+        self.by_number.get(&number).is_some_and(|client| client.held_back)
+    }
+
     /// Writes to a client, if it is still there.
     pub fn write(&mut self, number: u32, tag: u64, answer: Answer<'_>, effects: &mut Vec<Effect>) {
         let Some(client) = self.by_number.get_mut(&number) else { return };
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -15,7 +15,8 @@
 use copperroute_settings::Connections;
 use std::collections::VecDeque;
 
-/// Of the memory, what may wait for clients; with more, nodes are not read from until half of it has left.
+/// Of the memory, what may wait for clients. With more than half of that, those that are held back for reading
+/// slowly get no further bytes; with more than all of it, nodes are not read from until half of it has left.
 const UNSENT_PART: u64 = 4;
 
 /// A pull of a download in hand.
@@ -184,9 +185,18 @@
         ended.out = false;
         let took = self.now.since(ended.at);
         let closed = outcome == Outcome::Fulfilled;
+        let client = held.client;
         if let Some(told) = told.filter(|_| closed) {
-            let answer = if told.current { Answer::Current } else { Answer::Fulfilled(&told.body) };
-            self.answer(pull.dl, answer);
+            let short = self.clients.unsent() > self.most_unsent / 2;
+            self.answer(
+                pull.dl,
+                match told.current {
+                    true => Answer::Current,
+                    // It may have run, so nothing is promised; others are served from what memory is left.
+                    false if short && self.clients.is_held_back(client) => Answer::Abandoned,
+                    false => Answer::Fulfilled(&told.body),
+                },
+            );
         }
         let waited = told.and_then(|told| told.waited);
         let remark = told.map_or(Remark::None, |told| told.remark);
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -417,6 +417,35 @@
     .assert_eq(&trace);
 }
 
+#[test]
+fn clients_that_do_not_read_take_no_memory_from_those_that_do() {
+    let mut play = Play::of(&CONFIG.replace("\"memory_mb\": 192", "\"memory_mb\": 8"));
+    play.event(Event::Accepted(2));
+    let body = "x".repeat(900_000);
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.calm = false;
+    for (client, tag) in [(1, 8), (1, 9), (2, 10)] {
+        let bytes = request(tag, "image", &format!("9b{tag}"), ",need=100");
+        play.event(Event::Received(Peer::Client(client), &bytes));
+        play.event(Event::Written(Peer::Node(1), u64::MAX));
+    }
+    play.take();
+    for id in ["9b1f", "9b8", "9b9", "9b10"] {
+        let answer = format!("{id} ok - {}\r\n{body}\r\n", body.len());
+        play.event(Event::Received(Peer::Node(1), answer.as_bytes()));
+    }
+    expect![[r#"
+        Client(1) <- *4 $1 7 $2 OK $0  $900000 (900000 bytes)
+        read Client(1) false
+        Client(1) <- *4 $1 8 $2 OK $0  $900000 (900000 bytes)
+        Client(1) <- *4 $1 9 $6 FAILED $0  $0
+        Client(2) <- *4 $2 10 $2 OK $0  $900000 (900000 bytes)
+        read Client(2) false
+        read Node(1) false
+    "#]]
+    .assert_eq(&play.take().replace(&body, "(900000 bytes)"));
+}
+
 #[test]
 fn a_wrong_configuration_is_named_in_one_line() {
     let wrong = [
