--- a/src/decide.rs
+++ b/src/decide.rs
@@ -209,8 +209,7 @@
             _ => None,
         };
         if let Some(n) = self.nodes.get_mut(sent.node).filter(|_| end.remark == Remark::Hit) {
-            n.pace.add(now, 0, end.took.secs());
-            n.pace.add(now, 1, dl.work_s);
+            n.saw_pace(now, end.took.secs(), dl.work_s);
         }
         let row = &mut self.types[dl.d.content_type.0 as usize];
         row.mean_work_s += 0.02 * own_s.map_or(0.0, |own_s| own_s - row.mean_work_s);
@@ -354,16 +353,13 @@
         let leeway = told.target_time.secs() + (told.target_stretch - 1.0).max(0.0) * dl.work_s;
         let took = end.took.secs() - waited;
         let fair = dl.work_s + FILL_LEEWAY * leeway;
-        self.link.pace.add(now, 0, took);
-        self.link.pace.add(now, 1, fair);
-        self.link.pace.add(now, 2, waited);
+        self.link.saw(now, [took, fair, waited]);
         // A parent may be quick to begin and slow to send: what its fills take over the leeway counts as part
         // of its first byte. It fades while the parent is not asked, so that one is tried again. Of a slow
         // origin's time only the usual is the parent's: else objects would wander between parents.
         let own = if end.remark == Remark::FilledFromCopy { waited } else { waited.min(self.fetch_usual_s) };
         if let Some(n) = self.nodes.get_mut(sent.source) {
-            let old = n.first_byte_s(now, FADES);
-            n.first_byte = (old + SMOOTH * (own + (took - fair).max(0.0) - old), now);
+            n.saw_first_byte(now, own + (took - fair).max(0.0), SMOOTH, FADES);
         }
         let [took, fair, _] = self.link.pace.sums(now);
         if took > fair {
@@ -581,8 +577,7 @@
             n.heard = now;
             // A load report counts as a hit of mean size that took so many times as long.
             if let Some(in_hand) = end.report.in_hand {
-                n.pace.add(now, 0, mean * (in_hand / n.e.weight.max(0.1)).max(1.0));
-                n.pace.add(now, 1, mean);
+                n.saw_pace(now, mean * (in_hand / n.e.weight.max(0.1)).max(1.0), mean);
             }
         }
         match (end.outcome, from_source) {
@@ -621,9 +616,7 @@
     /// Counts for or against a node; sets it aside when recent pulls failed too often, whatever the cause.
     fn mark(&mut self, now: Nanos, id: NodeId, worked: bool, died: bool, out: &mut impl Outbox) {
         let Some(n) = self.nodes.get_mut(id) else { return };
-        n.ended.add(now, usize::from(!worked), 1.0);
-        let [ok, failed] = n.ended.sums(now);
-        n.in_row = if worked { 0 } else { n.in_row + 1 };
+        let [ok, failed] = n.saw_end(now, worked);
         if worked {
             (n.on_trial, n.heard) = (false, now);
         } else if n.on_trial || n.in_row >= ROW || failed >= FAILURES.max(FAILED_SHARE * (ok + failed)) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -232,6 +232,13 @@
     pub fn new(judged_over: Nanos, buckets: usize) -> Self {
         Link { pace: Ring::new(judged_over, buckets), out: 0.0, limit: 0.0, part: 0.0 }
     }
+
+    /// Counts a fill: the time it took to send, what is fair for that, and how long it waited first.
+    pub fn saw(&mut self, now: Nanos, [took, fair, waited]: [f64; 3]) {
+        for (at, secs) in [took, fair, waited].into_iter().enumerate() {
+            self.pace.add(now, at, secs);
+        }
+    }
 }
 
 /// A node and what was seen of it.
@@ -292,6 +299,25 @@
         self.first_byte.0 * 0.5_f64.powf(now.since(self.first_byte.1).secs() / fades.secs())
     }
 
+    /// Counts a hit, or what stands for one: what it took, and its sending time.
+    pub fn saw_pace(&mut self, now: Nanos, took_s: f64, work_s: f64) {
+        self.pace.add(now, 0, took_s);
+        self.pace.add(now, 1, work_s);
+    }
+
+    /// Counts the end of a pull; returns how many worked and failed lately.
+    pub fn saw_end(&mut self, now: Nanos, worked: bool) -> [f64; 2] {
+        self.in_row = if worked { 0 } else { self.in_row + 1 };
+        self.ended.add(now, usize::from(!worked), 1.0);
+        self.ended.sums(now)
+    }
+
+    /// Moves the smoothed time to first byte by a part of the way to a time just seen.
+    pub fn saw_first_byte(&mut self, now: Nanos, secs: f64, part: f64, fades: Nanos) {
+        let old = self.first_byte_s(now, fades);
+        self.first_byte = (old + part * (secs - old), now);
+    }
+
     /// Takes a newer line of the list; a new start makes a new node of it.
     pub fn relist(&mut self, e: &NodeEntry) {
         if e.started > self.e.started {
