Close clients that have vanished with answers waiting for them

Found by reading: the kernel gives a vanished peer many minutes, and what waited for such clients would have counted against the memory for all others until then. Test: one byte more within the time keeps it, the time over closes it.

--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -1,7 +1,7 @@
 //! Client connections: what is open on each, what has not left yet, and who is read from.
 
 use crate::reducer::{Effect, Peer};
-use copperroute::interface::DlId;
+use copperroute::interface::{DlId, Nanos};
 use copperroute_protocol::clients::{Answer, Decoder, encode};
 use std::collections::HashMap;
 
@@ -20,6 +20,8 @@
     written: u64,
     /// It reads so slowly that it is not read from either.
     held_back: bool,
+    /// When bytes last left, or began to wait.
+    moved: Nanos,
 }
 
 impl Client {
@@ -66,8 +68,18 @@
     }
 
     /// Writes to a client, if it is still there.
-    pub fn write(&mut self, number: u32, tag: u64, answer: Answer<'_>, effects: &mut Vec<Effect>) {
+    pub fn write(
+        &mut self,
+        number: u32,
+        tag: u64,
+        answer: Answer<'_>,
+        now: Nanos,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(client) = self.by_number.get_mut(&number) else { return };
+        if client.unsent() == 0 {
+            client.moved = now;
+        }
         let bytes = encode(tag, answer);
         client.queued += bytes.len() as u64;
         self.unsent += bytes.len() as u64;
@@ -79,8 +91,9 @@
     }
 
     /// Bytes for a client have left, so many in all.
-    pub fn written(&mut self, number: u32, total: u64, effects: &mut Vec<Effect>) {
+    pub fn written(&mut self, number: u32, total: u64, now: Nanos, effects: &mut Vec<Effect>) {
         let Some(client) = self.by_number.get_mut(&number) else { return };
+        client.moved = now;
         self.unsent -= total.saturating_sub(client.written);
         client.written = total;
         if client.held_back && client.unsent() <= UNSENT / 2 {
@@ -99,6 +112,14 @@
         open
     }
 
+    /// The clients that have taken nothing of what waits for them for so long.
+    pub fn stuck(&self, now: Nanos, span: Nanos) -> Vec<u32> {
+        let stuck = |client: &Client| client.unsent() > 0 && now.since(client.moved) > span;
+        let mut stuck: Vec<_> = self.by_number.iter().filter(|(_, c)| stuck(c)).map(|(n, _)| *n).collect();
+        stuck.sort();
+        stuck
+    }
+
     /// Closes up to `most` of the oldest connections on which nothing is open, but not the one that is spared.
     pub fn close_idle(&mut self, most: usize, spared: Option<u32>, effects: &mut Vec<Effect>) {
         let idle = self.by_number.iter().filter(|(number, c)| c.is_idle() && Some(**number) != spared);
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -106,13 +106,13 @@
 
     /// Writes to a client, if it is still there.
     pub fn write(&mut self, client: u32, tag: u64, answer: Answer<'_>) {
-        self.clients.write(client, tag, answer, &mut self.effects);
+        self.clients.write(client, tag, answer, self.now, &mut self.effects);
         self.balance();
     }
 
     /// Bytes for a client have left.
     pub fn client_written(&mut self, client: u32, total: u64) {
-        self.clients.written(client, total, &mut self.effects);
+        self.clients.written(client, total, self.now, &mut self.effects);
         self.balance();
     }
 
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -108,6 +108,8 @@
     chance: Chance,
     /// With more clients than this, idle ones are closed.
     most_clients: usize,
+    /// A client that takes nothing for so long is gone.
+    client_patience: Nanos,
     /// Nothing new can come any more.
     last_requests: bool,
 }
@@ -115,6 +117,8 @@
 impl Reducer {
     /// A dispatcher that has not started.
     pub fn new(config: Config, epoch: Epoch) -> Self {
+        let idle = config.connections.idle;
+        let patience = if idle > Nanos::ZERO { idle } else { Nanos(u64::MAX) };
         Reducer {
             life: Life::default(),
             chance: Chance::new(config.settings.seed.rotate_left(32)),
@@ -126,6 +130,7 @@
             log_address: config.changelog,
             known: config.known.results,
             epoch,
+            client_patience: patience,
             last_requests: false,
         }
     }
@@ -207,6 +212,11 @@
             Due::ChangeLog => self.connect_log(),
             Due::Sweep => {
                 self.desk.sweep();
+                // Nobody waits that long for an answer: such a client has vanished.
+                for number in self.desk.clients.stuck(now, self.client_patience) {
+                    log::warn!("client: takes nothing, closed");
+                    self.client_closed(now, number);
+                }
                 if self.log.open && now.since(self.log.heard) > SILENT_AFTER && self.log.heard > Nanos::ZERO {
                     log::warn!("change log: silent");
                     self.log_closed(now, self.log.connection);
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -446,6 +446,22 @@
     .assert_eq(&play.take().replace(&body, "(900000 bytes)"));
 }
 
+#[test]
+fn a_client_that_has_vanished_is_closed() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.calm = false;
+    play.node(1, "9b1f ok why=local 4");
+    play.take();
+    play.pass(20_000);
+    play.event(Event::Written(Peer::Client(1), 10));
+    play.pass(30_000);
+    assert!(!play.take().contains("Client"));
+    play.pass(2_000);
+    expect!["close Client(1)"]
+        .assert_eq(&play.take().lines().filter(|line| line.contains("Client")).collect::<String>());
+}
+
 #[test]
 fn a_wrong_configuration_is_named_in_one_line() {
     let wrong = [
