Let a log that nobody reads hold up nothing

Seen in a new test: with standard error a pipe that is not read, 400 bad requests filled it, the write of a log line waited, and with it every download (the client's read timed out after 20 s). Lines now go through a bounded queue to a thread of their own, and what does not fit is left out; at the end the last lines get a tenth of a second.

--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::logs;
 use crate::reducer::{Due, Effect, Event, Peer, Reducer};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -77,6 +78,8 @@
     let mut event_loop: EventLoop<'static, Inbox> = EventLoop::try_new().map_err(said("event loop"))?;
     let handle = event_loop.handle();
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(said("signals"))?;
+    // Its thread must come after the signals are kept from all threads, or they would end it and the program.
+    let log = logs::start();
     handle
         .insert_source(signals, |_, _, inbox| inbox.terminate = true)
         .map_err(|fault| said("signals")(fault.error))?;
@@ -134,6 +137,7 @@
         }
     }
     carrier.flush_all();
+    log.finish();
     Ok(())
 }
 
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod desk;
 pub mod event_loop;
+pub mod logs;
 pub mod nodes;
 pub mod phases;
 pub mod reducer;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -49,7 +49,6 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     match run(Arguments::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/dispatcher/tests/dispatcher/loopback.rs
+++ b/dispatcher/tests/dispatcher/loopback.rs
@@ -56,11 +56,11 @@
 
 impl Rig {
     fn start() -> Rig {
-        Rig::limited("true")
+        Rig::limited("true", Stdio::null())
     }
 
     /// The same after a command of the shell has set limits.
-    fn limited(limits: &str) -> Rig {
+    fn limited(limits: &str, errors: Stdio) -> Rig {
         let (tell, asked) = channel();
         let log = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let own = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -77,7 +77,7 @@
         let program = Command::new("sh")
             .args(["-c", &serve, env!("CARGO_BIN_EXE_copperroute")])
             .arg(&path)
-            .stderr(Stdio::null())
+            .stderr(errors)
             .spawn()
             .expect("the program starts");
         // It connects to the change log once it has read its configuration and listens.
@@ -243,7 +243,7 @@
 
 #[test]
 fn running_out_of_descriptors_ends_nothing() {
-    let rig = Rig::limited("ulimit -n 24");
+    let rig = Rig::limited("ulimit -n 24", Stdio::null());
     let mut busy = rig.client();
     busy.write_all(&request(7, "image", "9b1f", UNHURRIED)).expect("the program reads");
     let mut asked = rig.asked();
@@ -322,3 +322,19 @@
     "#]]
     .assert_eq(&trace);
 }
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_nothing() {
+    let rig = Rig::limited("true", Stdio::piped());
+    let mut client = rig.client();
+    // Each costs a line of over a kilobyte, far more in all than a pipe holds.
+    for tag in 1..=400 {
+        client.write_all(&request(tag, &"x".repeat(1_000), "9b1f", "")).expect("the program reads");
+        assert!(answer(&client).contains("FAILED"));
+    }
+    client.write_all(&message("HEALTH", 401)).expect("the program reads");
+    expect![[r#"
+        401 UP
+    "#]]
+    .assert_eq(&answer(&client));
+}
