Give the change log's connection its own file with what it does

What follows the log without a gap moved from reducer.rs to changes.rs; the reducer applies the events that come out.

--- a/dispatcher/src/changes.rs
+++ b/dispatcher/src/changes.rs
@@ -1,26 +1,140 @@
-//! The connection to the change log.
+//! The connection to the change log: followed without a gap, and made anew when it ends, is silent, or says
+//! what can't be.
 
+use crate::reducer::{Due, Effect, Peer};
+use copperroute::chance::Chance;
 use copperroute::interface::Nanos;
-use copperroute_protocol::changes::Decoder;
+use copperroute_protocol::changes::{Change, Decoder, Line, encode_since};
+use std::net::SocketAddr;
 
 /// A line comes each second; after this long without one the connection counts as dead.
-pub const SILENT_AFTER: Nanos = Nanos(3_000_000_000);
+const SILENT_AFTER: Nanos = Nanos(3_000_000_000);
+/// It is connected to anew after so long, and up to as long again.
+const RECONNECT: Nanos = Nanos(100_000_000);
 
 /// The change log as this dispatcher follows it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ChangeLog {
-    /// The number of the last event that was applied.
-    pub applied: u64,
+    address: SocketAddr,
+    /// The number of the last event that was handed on.
+    applied: u64,
     /// The number of the connection, raised each time it is made anew.
-    pub connection: u32,
-    /// Whether that connection is in use, made or being made.
-    pub open: bool,
+    connection: u32,
+    /// That connection is in use, made or being made.
+    open: bool,
     /// The last word in the log was that it is lost.
-    pub lost: bool,
+    lost: bool,
     /// The number of an event that could not be used; if it comes so again, it is passed over.
-    pub unusable: Option<u64>,
+    unusable: Option<u64>,
     /// When it last told anything.
-    pub heard: Nanos,
-    /// Decodes it.
-    pub decoder: Decoder,
+    heard: Nanos,
+    decoder: Decoder,
+    chance: Chance,
+}
+
+impl ChangeLog {
+    /// Not connected to yet, with the events up to `applied` known.
+    pub fn new(address: SocketAddr, applied: u64, chance: Chance) -> Self {
+        ChangeLog {
+            address,
+            applied,
+            connection: 0,
+            open: false,
+            lost: false,
+            unusable: None,
+            heard: Nanos::ZERO,
+            decoder: Decoder::default(),
+            chance,
+        }
+    }
+
+    /// The number of the last event that was handed on.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Connects, unless it does already.
+    pub fn connect(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        if !self.open {
+            self.connection += 1;
+            (self.open, self.heard, self.decoder) = (true, now, Decoder::default());
+            effects.push(Effect::Connect(Peer::ChangeLog(self.connection), self.address));
+        }
+    }
+
+    /// The connection has come up: asks for what follows.
+    pub fn connected(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) {
+        if !self.open || self.connection != number {
+            return;
+        }
+        self.heard = now;
+        if std::mem::take(&mut self.lost) {
+            log::info!("change log: connected");
+        }
+        effects.push(Effect::Write(Peer::ChangeLog(number), encode_since(self.applied)));
+    }
+
+    /// The connection has ended, or is given up.
+    pub fn closed(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) {
+        if !self.open || self.connection != number {
+            return;
+        }
+        self.open = false;
+        // It may be away for long, and is tried often: one line tells of it.
+        if !std::mem::replace(&mut self.lost, true) {
+            log::warn!("change log: lost, connecting anew");
+        }
+        let wait = RECONNECT.after(Nanos::from_secs(RECONNECT.secs() * self.chance.share()));
+        effects.push(Effect::Close(Peer::ChangeLog(number)));
+        effects.push(Effect::Arm(now.after(wait), Due::ChangeLog));
+    }
+
+    /// Gives the connection up if it has been silent for too long.
+    pub fn watch(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        if self.open && now.since(self.heard) > SILENT_AFTER {
+            log::warn!("change log: silent");
+            self.closed(self.connection, now, effects);
+        }
+    }
+
+    /// Bytes have come.
+    pub fn received(&mut self, number: u32, bytes: &[u8], now: Nanos) {
+        if self.open && self.connection == number {
+            self.heard = now;
+            self.decoder.feed(bytes);
+        }
+    }
+
+    /// The next event, each once and in order; nothing if there is none yet, or none to be had here.
+    pub fn next_change(&mut self, now: Nanos, effects: &mut Vec<Effect>) -> Option<Change> {
+        while self.open {
+            match self.decoder.next_line() {
+                Ok(None) => return None,
+                Ok(Some(Line::Change(change))) if change.seq > self.applied => {
+                    self.applied = change.seq;
+                    return Some(*change);
+                }
+                Ok(Some(Line::Last(last))) if last > self.applied => {
+                    log::warn!("change log: at {last}, applied {}", self.applied);
+                    self.closed(self.connection, now, effects);
+                }
+                Ok(Some(Line::Change(_) | Line::Last(_))) => {}
+                Ok(Some(Line::Unusable(seq, fault))) => {
+                    log::warn!("change log: event {seq}: {fault}");
+                    // Once it may have been cut or mixed up on its way; for ever it would hold up all behind it.
+                    if self.unusable == Some(seq) {
+                        self.applied = self.applied.max(seq);
+                    } else {
+                        self.unusable = Some(seq);
+                        self.closed(self.connection, now, effects);
+                    }
+                }
+                Err(fault) => {
+                    log::warn!("change log: {fault}");
+                    self.closed(self.connection, now, effects);
+                }
+            }
+        }
+        None
+    }
 }
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -1,7 +1,7 @@
 //! The reducer: every state change happens here, in answer to an event. What is to be read, written,
 //! connected or timed comes out as effects, which the event loop carries out.
 
-use crate::changes::{ChangeLog, SILENT_AFTER};
+use crate::changes::ChangeLog;
 use crate::clock::Epoch;
 use crate::config::Config;
 use crate::desk::Desk;
@@ -10,7 +10,7 @@
 use copperroute::chance::Chance;
 use copperroute::decide::Dispatcher;
 use copperroute::interface::{DlId, Download, Nanos, NodeEntry, Readiness, TypeId, ZoneId, mix, stable_hash};
-use copperroute_protocol::changes::{Change, Fleet, Line, Listed, Purge, encode_since};
+use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
 use copperroute_settings::{Names, place};
 use std::net::SocketAddr;
@@ -22,8 +22,6 @@
 /// Idle clients that are closed at once when descriptors run short.
 const IDLE_AT_ONCE: usize = 8;
 const SWEEP: Nanos = Nanos(1_000_000_000);
-/// The change log is connected to anew after so long, and up to as long again.
-const RECONNECT: Nanos = Nanos(100_000_000);
 
 /// The other end of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -102,10 +100,8 @@
     desk: Desk,
     names: Names,
     log: ChangeLog,
-    log_address: SocketAddr,
     known: Vec<Change>,
     epoch: Epoch,
-    chance: Chance,
     /// With more clients than this, idle ones are closed.
     most_clients: usize,
     /// A client that takes nothing for so long is gone.
@@ -117,17 +113,16 @@
 impl Reducer {
     /// A dispatcher that has not started.
     pub fn new(config: Config, epoch: Epoch) -> Self {
+        let chance = Chance::new(config.settings.seed.rotate_left(32));
         let idle = config.connections.idle;
         let patience = if idle > Nanos::ZERO { idle } else { Nanos(u64::MAX) };
         Reducer {
             life: Life::default(),
-            chance: Chance::new(config.settings.seed.rotate_left(32)),
             module: Dispatcher::new(config.settings),
             names: config.names,
             desk: Desk::new(config.connections, config.limits.memory_mb),
             most_clients: config.limits.sockets as usize / 2,
-            log: ChangeLog { applied: config.known.seq, ..ChangeLog::default() },
-            log_address: config.changelog,
+            log: ChangeLog::new(config.changelog, config.known.seq, chance),
             known: config.known.results,
             epoch,
             client_patience: patience,
@@ -137,7 +132,7 @@
 
     /// The number of the last event of the change log that was applied.
     pub fn applied(&self) -> u64 {
-        self.log.applied
+        self.log.applied()
     }
 
     /// Changes the state as the event asks, and returns what is to be done.
@@ -152,22 +147,22 @@
                 }
             }
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
-            Event::Connected(Peer::ChangeLog(number)) if self.log.connection == number => {
-                self.log.heard = now;
-                if std::mem::take(&mut self.log.lost) {
-                    log::info!("change log: connected");
-                }
-                let since = encode_since(self.log.applied);
-                self.desk.effects.push(Effect::Write(Peer::ChangeLog(number), since));
+            Event::Connected(Peer::ChangeLog(number)) => {
+                self.log.connected(number, now, &mut self.desk.effects)
             }
             Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
             Event::Received(Peer::Node(number), bytes) => self.desk.node_received(number, bytes),
-            Event::Received(Peer::ChangeLog(number), bytes) => self.log_received(now, number, bytes),
+            Event::Received(Peer::ChangeLog(number), bytes) => {
+                self.log.received(number, bytes, now);
+                while let Some(change) = self.log.next_change(now, &mut self.desk.effects) {
+                    self.apply(now, &change);
+                }
+            }
             Event::Written(Peer::Client(number), total) => self.desk.client_written(number, total),
             Event::Written(Peer::Node(number), total) => self.desk.node_written(number, total),
             Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
             Event::Closed(Peer::Node(number)) => self.desk.node_closed(number),
-            Event::Closed(Peer::ChangeLog(number)) => self.log_closed(now, number),
+            Event::Closed(Peer::ChangeLog(number)) => self.log.closed(number, now, &mut self.desk.effects),
             Event::Due(due) => self.due(now, due),
             Event::Terminate => {
                 if self.life.move_to(Phase::Draining) {
@@ -178,7 +173,7 @@
             Event::NoDescriptors => {
                 self.desk.clients.close_idle(IDLE_AT_ONCE, None, &mut self.desk.effects);
             }
-            Event::Connected(_) | Event::Written(..) => {}
+            Event::Connected(Peer::Client(_)) | Event::Written(Peer::ChangeLog(_), _) => {}
         }
         self.hand_on_ends(now);
         if self.life.phase() == Phase::Draining && self.last_requests && self.desk.is_clear() {
@@ -200,7 +195,7 @@
         for change in std::mem::take(&mut self.known) {
             self.apply(now, &change);
         }
-        self.connect_log();
+        self.log.connect(now, &mut self.desk.effects);
         self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
     }
 
@@ -209,7 +204,7 @@
             Due::Module(token) => self.module.timer(now, token, &mut self.desk),
             Due::Expiry(dl, serial) => self.expire(now, dl, serial),
             Due::Connect(number) => self.desk.connect_overdue(number),
-            Due::ChangeLog => self.connect_log(),
+            Due::ChangeLog => self.log.connect(now, &mut self.desk.effects),
             Due::Sweep => {
                 self.desk.sweep();
                 // Nobody waits that long for an answer: such a client has vanished.
@@ -217,10 +212,7 @@
                     log::warn!("client: takes nothing, closed");
                     self.client_closed(now, number);
                 }
-                if self.log.open && now.since(self.log.heard) > SILENT_AFTER && self.log.heard > Nanos::ZERO {
-                    log::warn!("change log: silent");
-                    self.log_closed(now, self.log.connection);
-                }
+                self.log.watch(now, &mut self.desk.effects);
                 self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
             }
             Due::LastRequests => self.last_requests = true,
@@ -317,66 +309,6 @@
 
     // The change log.
 
-    fn connect_log(&mut self) {
-        if !self.log.open {
-            self.log.connection += 1;
-            self.log.open = true;
-            self.log.heard = self.desk.now;
-            self.log.decoder = Default::default();
-            self.desk.effects.push(Effect::Connect(Peer::ChangeLog(self.log.connection), self.log_address));
-        }
-    }
-
-    fn log_closed(&mut self, now: Nanos, number: u32) {
-        if !self.log.open || self.log.connection != number {
-            return;
-        }
-        self.log.open = false;
-        // It may be away for long, and is tried often: one line tells of it.
-        if !std::mem::replace(&mut self.log.lost, true) {
-            log::warn!("change log: lost, connecting anew");
-        }
-        let wait = RECONNECT.after(Nanos::from_secs(RECONNECT.secs() * self.chance.share()));
-        self.desk.effects.push(Effect::Close(Peer::ChangeLog(number)));
-        self.desk.effects.push(Effect::Arm(now.after(wait), Due::ChangeLog));
-    }
-
-    fn log_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
-        if !self.log.open || self.log.connection != number {
-            return;
-        }
-        self.log.heard = now;
-        self.log.decoder.feed(bytes);
-        loop {
-            match self.log.decoder.next_line() {
-                Ok(None) => return,
-                Ok(Some(Line::Change(change))) if change.seq <= self.log.applied => {}
-                Ok(Some(Line::Change(change))) => {
-                    self.log.applied = change.seq;
-                    self.apply(now, &change);
-                }
-                Ok(Some(Line::Unusable(seq, fault))) => {
-                    log::warn!("change log: event {seq}: {fault}");
-                    // Once it may have been cut or mixed up on its way; for ever it would hold up all behind it.
-                    if self.log.unusable != Some(seq) {
-                        self.log.unusable = Some(seq);
-                        return self.log_closed(now, number);
-                    }
-                    self.log.applied = self.log.applied.max(seq);
-                }
-                Ok(Some(Line::Last(last))) if last > self.log.applied => {
-                    log::warn!("change log: at {last}, applied {}", self.log.applied);
-                    return self.log_closed(now, number);
-                }
-                Ok(Some(Line::Last(_))) => {}
-                Err(fault) => {
-                    log::warn!("change log: {fault}");
-                    return self.log_closed(now, number);
-                }
-            }
-        }
-    }
-
     fn apply(&mut self, now: Nanos, change: &Change) {
         if let Some(fleet) = &change.fleet {
             self.list(now, fleet);
