Bound how long a client may say it waits; feed the codecs nonsense

Found by reading: a client naming a wait of years left a timer for as long, so memory that it could make grow. New test: 1,500 pieced-together inputs through all three codecs, whole, byte by byte and in random cuts, end alike and never panic.

--- a/protocol/src/clients.rs
+++ b/protocol/src/clients.rs
@@ -5,6 +5,8 @@
 const MOST_ITEMS: usize = 8;
 const LONGEST_ITEM: usize = 256 * 1024;
 const LONGEST_LINE: usize = 32;
+/// What is asked for is kept in mind for as long as its client says it waits.
+const LONGEST_WAIT_MS: u64 = 86_400_000;
 
 /// A download as a client asks for it.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -109,8 +111,8 @@
         }
     }
     match request.timeout_ms {
-        0 => Err("timeout: expected milliseconds".to_string()),
-        _ => Ok(request),
+        1..=LONGEST_WAIT_MS => Ok(request),
+        _ => Err("timeout: expected milliseconds, a day of them at most".to_string()),
     }
 }
 
--- a/protocol/tests/codecs.rs
+++ b/protocol/tests/codecs.rs
@@ -68,13 +68,15 @@
         "req=a b,subject=a,timeout=5",
         "req=a,subject=a",
         "req=a,subject=a,timeout=x",
+        "req=a,subject=a,timeout=86400001",
         "req=a,subject=a,timeout=5,block=-1",
     ];
     expect![[r#"
         Unusable(7, "req: expected a word, found ''")
         Unusable(7, "req: expected a word, found 'a b'")
-        Unusable(7, "timeout: expected milliseconds")
+        Unusable(7, "timeout: expected milliseconds, a day of them at most")
         Unusable(7, "timeout: expected a number, found 'x'")
+        Unusable(7, "timeout: expected milliseconds, a day of them at most")
         Unusable(7, "block: expected a number, found '-1'")
     "#]]
     .assert_eq(&fields.map(message).concat());
@@ -227,3 +229,50 @@
         Unusable(46, "unknown variant `gone fishing`, expected one of `active`, `leaving`, `left` at line 1 column 64")
     "#]].assert_eq(&decoded!(changes::Decoder, next_line, bytes));
 }
+
+/// Bytes made of pieces of the protocols and of noise, by a seed.
+fn nonsense(seed: u64) -> Vec<u8> {
+    const PIECES: [&[u8]; 16] = [
+        b"*2\r\n",
+        b"*5\r\n",
+        b"$3\r\nREQ\r\n",
+        b"$1\r\n7\r\n",
+        b"$5\r\nABORT\r\n",
+        b"$-1\r\n",
+        b"$262144\r\n",
+        b"9b1f ok ",
+        b"why=local,ttfb=-1,rep=inflight:1e400 ",
+        b"4\r\nbody\r\n",
+        b"18446744073709551615\r\n",
+        b"\r\n",
+        b"{\"seq\":1",
+        b",\"fleet\":{}}\n",
+        b"99999999999999999999\n",
+        b"{\"seq\":2,\"invalidate\":{\"time\":-1}}\n",
+    ];
+    let mut chance = Chance::new(seed);
+    let mut bytes = Vec::new();
+    for _ in 0..chance.digit() % 12 {
+        match chance.digit() % 20 {
+            at @ 0..16 => bytes.extend_from_slice(PIECES[at as usize]),
+            _ => bytes.push(chance.digit() as u8),
+        }
+    }
+    bytes
+}
+
+#[test]
+fn nonsense_is_told_apart_the_same_in_all_cuts() {
+    let (mut read, mut unreadable) = (0, 0);
+    for seed in 0..1_500 {
+        let bytes = nonsense(seed);
+        let traces = [
+            decoded!(clients::Decoder, next_message, &bytes),
+            decoded!(nodes::Decoder, next_answer, &bytes),
+            decoded!(changes::Decoder, next_line, &bytes),
+        ];
+        read += traces.iter().filter(|trace| !trace.is_empty() && !trace.starts_with('!')).count();
+        unreadable += traces.iter().filter(|trace| trace.contains("! ")).count();
+    }
+    assert!(read > 50 && unreadable > 1_000, "{read} {unreadable}");
+}
