--- a/dispatcher/src/changes.rs
+++ b/dispatcher/src/changes.rs
@@ -62,6 +62,19 @@
         }
     }
 
+    /// Follows it at another address from now on. The old one may tell no more and stay open, so that is not
+    /// waited for.
+    pub fn move_to(&mut self, address: SocketAddr, now: Nanos, effects: &mut Vec<Effect>) {
+        if std::mem::replace(&mut self.address, address) == address {
+            return;
+        }
+        log::info!("change log: now at {address}");
+        if std::mem::take(&mut self.open) {
+            effects.push(Effect::Close(Peer::ChangeLog(self.connection)));
+        }
+        self.connect(now, effects);
+    }
+
     /// The connection has come up: asks for what follows.
     pub fn connected(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) {
         if !self.open || self.connection != number {
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -2,7 +2,7 @@
 
 use copperroute::interface::Settings;
 use copperroute_protocol::changes::Known;
-use copperroute_settings::{Connections, Names, Options};
+use copperroute_settings::{Connections, Names, Offer, Options};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -22,7 +22,7 @@
 }
 
 /// What the machine gives.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// Memory in MB.
@@ -38,6 +38,7 @@
 }
 
 /// What a dispatcher is started with.
+#[derive(Debug)]
 pub struct Config {
     /// Its name.
     pub name: String,
@@ -55,6 +56,8 @@
     pub connections: Connections,
     /// The names that the protocol uses.
     pub names: Names,
+    /// What may be asked for, by content type.
+    pub offers: Vec<Offer>,
 }
 
 impl Config {
@@ -81,6 +84,7 @@
             settings: options.settings(seed)?,
             connections: options.connections()?,
             names: options.protocol_names()?,
+            offers: options.offers()?,
         })
     }
 }
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Takes new limits.
+    pub fn limit(&mut self, limits: Connections, memory_mb: u64) {
+        self.most_unsent = memory_mb * 1024 * 1024 / UNSENT_PART;
+        self.nodes.limit(limits);
+    }
+
     /// Looks after connections; to be called now and then.
     pub fn sweep(&mut self) {
         self.nodes.sweep(self.now, &mut self.effects);
--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,7 @@
     accept: bool,
     rested: bool,
     terminate: bool,
+    reload: bool,
 }
 
 /// A connection, and what it has still to write.
@@ -71,17 +73,22 @@
     Ok(socket.into())
 }
 
-/// Serves until told to end.
-pub fn serve(config: Config) -> Result<(), String> {
+/// Serves with the configuration in this file until told to end.
+pub fn serve(path: &Path) -> Result<(), String> {
+    let config = Config::read(path)?;
     let said = |what: &'static str| move |fault: calloop::Error| format!("{what}: {fault}");
     let listener = listen(config.listen).map_err(|fault| format!("{}: {fault}", config.listen))?;
     let mut event_loop: EventLoop<'static, Inbox> = EventLoop::try_new().map_err(said("event loop"))?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(said("signals"))?;
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(said("signals"))?;
     // Its thread must come after the signals are kept from all threads, or they would end it and the program.
     let log = logs::start();
     handle
-        .insert_source(signals, |_, _, inbox| inbox.terminate = true)
+        .insert_source(signals, |event, _, inbox| match event.signal() {
+            Signal::SIGHUP => inbox.reload = true,
+            _ => inbox.terminate = true,
+        })
         .map_err(|fault| said("signals")(fault.error))?;
     let listener = Rc::new(listener);
     let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
@@ -119,6 +126,9 @@
         if std::mem::take(&mut inbox.terminate) {
             carrier.reduce(Event::Terminate);
         }
+        if std::mem::take(&mut inbox.reload) {
+            carrier.reload(path);
+        }
         // What has come is read before time is called on it: after a pause of the machine's all seems overdue.
         // Each connection is read once, so what is due waits for a bounded time.
         for (peer, readiness) in std::mem::take(&mut inbox.ready) {
@@ -173,6 +183,14 @@
         }
     }
 
+    /// Reads the configuration again; one that can't be used changes nothing.
+    fn reload(&mut self, path: &Path) {
+        match Config::read(path) {
+            Ok(config) => self.reduce(Event::Reload(&config)),
+            Err(fault) => log::error!("configuration: not taken: {fault}"),
+        }
+    }
+
     // Connections.
 
     /// Accepts what waits; tells whether there were descriptors for it.
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -14,7 +14,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serves clients until SIGTERM.
+    /// Serves clients until SIGTERM; reads its configuration again at SIGHUP.
     Serve {
         /// The configuration file.
         #[arg(long, env = "PROXY_CONFIG")]
@@ -43,7 +43,7 @@
                 read.known.results.len()
             );
         }
-        Command::Serve { config } => event_loop::serve(config::Config::read(&config)?)?,
+        Command::Serve { config } => event_loop::serve(&config)?,
     }
     Ok(())
 }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -116,6 +116,11 @@
         Nodes { limits, ids, pools, connections, last: 0, held_back: false }
     }
 
+    /// Takes new limits.
+    pub fn limit(&mut self, limits: Connections) {
+        self.limits = limits;
+    }
+
     // The list.
 
     /// A node's id.
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -12,13 +12,15 @@
 use copperroute::interface::{DlId, Download, Nanos, NodeEntry, Readiness, TypeId, ZoneId, mix, stable_hash};
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
-use copperroute_settings::{Names, place};
+use copperroute_settings::place;
 use std::net::SocketAddr;
 
 /// After the signal to end nothing new comes any more once this is over.
 const LAST_REQUESTS: Nanos = Nanos(750_000_000);
-/// After the signal to end all must be answered by then.
-const DRAINED_BY: Nanos = Nanos(3_500_000_000);
+/// After the signal to end all must be answered so long after the longest expiry, or after `LONGEST_DRAIN` where
+/// that is shorter: what came last has come 0.6 s after it, and 0.7 s after it nothing is waited for.
+const DRAINED_AFTER: Nanos = Nanos(500_000_000);
+const LONGEST_DRAIN: Nanos = Nanos(3_000_000_000);
 /// Idle clients that are closed at once when descriptors run short.
 const IDLE_AT_ONCE: usize = 8;
 const SWEEP: Nanos = Nanos(1_000_000_000);
@@ -72,6 +74,8 @@
     Due(Due),
     /// The program is to end.
     Terminate,
+    /// The configuration has been read again.
+    Reload(&'a Config),
     /// No descriptor is left for a client that waits.
     NoDescriptors,
 }
@@ -98,35 +102,29 @@
     life: Life,
     module: Dispatcher,
     desk: Desk,
-    names: Names,
     log: ChangeLog,
-    known: Vec<Change>,
     epoch: Epoch,
-    /// With more clients than this, idle ones are closed.
-    most_clients: usize,
-    /// A client that takes nothing for so long is gone.
-    client_patience: Nanos,
     /// Nothing new can come any more.
     last_requests: bool,
+    /// All that was owed has been answered, whoever takes it or not.
+    drained: bool,
+    /// What the program was started with, and what has been taken of it since.
+    config: Config,
 }
 
 impl Reducer {
     /// A dispatcher that has not started.
     pub fn new(config: Config, epoch: Epoch) -> Self {
         let chance = Chance::new(config.settings.seed.rotate_left(32));
-        let idle = config.connections.idle;
-        let patience = if idle > Nanos::ZERO { idle } else { Nanos(u64::MAX) };
         Reducer {
             life: Life::default(),
-            module: Dispatcher::new(config.settings),
-            names: config.names,
+            module: Dispatcher::new(config.settings.clone()),
             desk: Desk::new(config.connections, config.limits.memory_mb),
-            most_clients: config.limits.sockets as usize / 2,
             log: ChangeLog::new(config.changelog, config.known.seq, chance),
-            known: config.known.results,
             epoch,
-            client_patience: patience,
             last_requests: false,
+            drained: false,
+            config,
         }
     }
 
@@ -142,7 +140,7 @@
             Event::Started => self.start(now),
             Event::Accepted(number) => {
                 self.desk.clients.accept(number);
-                if self.desk.clients.count() > self.most_clients {
+                if self.desk.clients.count() > self.most_clients() {
                     self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), &mut self.desk.effects);
                 }
             }
@@ -166,17 +164,22 @@
             Event::Due(due) => self.due(now, due),
             Event::Terminate => {
                 if self.life.move_to(Phase::Draining) {
-                    let armed = [(LAST_REQUESTS, Due::LastRequests), (DRAINED_BY, Due::Drained)];
+                    let longest =
+                        self.config.offers.iter().map(|offer| offer.expiry).max().unwrap_or_default();
+                    let drained = longest.min(LONGEST_DRAIN).after(DRAINED_AFTER);
+                    let armed = [(LAST_REQUESTS, Due::LastRequests), (drained, Due::Drained)];
                     self.desk.effects.extend(armed.map(|(span, due)| Effect::Arm(now.after(span), due)));
                 }
             }
+            Event::Reload(config) => self.reload(now, config),
             Event::NoDescriptors => {
                 self.desk.clients.close_idle(IDLE_AT_ONCE, None, &mut self.desk.effects);
             }
             Event::Connected(Peer::Client(_)) | Event::Written(Peer::ChangeLog(_), _) => {}
         }
         self.hand_on_ends(now);
-        if self.life.phase() == Phase::Draining && self.last_requests && self.desk.is_clear() {
+        let over = self.drained || (self.last_requests && self.desk.is_clear());
+        if self.life.phase() == Phase::Draining && over {
             self.life.move_to(Phase::Stopped);
             self.desk.effects.push(Effect::Exit);
         }
@@ -192,7 +195,7 @@
 
     fn start(&mut self, now: Nanos) {
         self.module.start(now, &mut self.desk);
-        for change in std::mem::take(&mut self.known) {
+        for change in std::mem::take(&mut self.config.known.results) {
             self.apply(now, &change);
         }
         self.log.connect(now, &mut self.desk.effects);
@@ -208,7 +211,7 @@
             Due::Sweep => {
                 self.desk.sweep();
                 // Nobody waits that long for an answer: such a client has vanished.
-                for number in self.desk.clients.stuck(now, self.client_patience) {
+                for number in self.desk.clients.stuck(now, self.client_patience()) {
                     log::warn!("client: takes nothing, closed");
                     self.client_closed(now, number);
                 }
@@ -220,10 +223,42 @@
                 for (dl, serial) in self.desk.all_owed() {
                     self.expire(now, dl, serial);
                 }
+                self.drained = true;
             }
         }
     }
 
+    /// With more clients than this, idle ones are closed.
+    fn most_clients(&self) -> usize {
+        self.config.limits.sockets as usize / 2
+    }
+
+    /// A client that takes nothing for so long is gone.
+    fn client_patience(&self) -> Nanos {
+        let idle = self.config.connections.idle;
+        if idle > Nanos::ZERO { idle } else { Nanos(u64::MAX) }
+    }
+
+    /// Takes what can change while downloads are open: where the change log is, and what the machine and the
+    /// nodes' connections bear. What the decisions were built on stays until a restart, which is said. Events
+    /// that the file knows are not applied: the change log tells all from the last that was.
+    fn reload(&mut self, now: Nanos, new: &Config) {
+        let old = &mut self.config;
+        let kept = [
+            ("name", new.name != old.name),
+            ("listen", new.listen != old.listen),
+            ("seed or settings", new.settings != old.settings),
+            ("names in the settings", new.names != old.names || new.offers != old.offers),
+        ];
+        for (what, _) in kept.iter().filter(|(_, differs)| *differs) {
+            log::warn!("configuration: {what} can't change before a restart");
+        }
+        (old.limits, old.connections, old.changelog) = (new.limits, new.connections, new.changelog);
+        self.desk.limit(new.connections, new.limits.memory_mb);
+        self.log.move_to(new.changelog, now, &mut self.desk.effects);
+        log::info!("configuration: read again");
+    }
+
     /// The client's time is up: the module hears that its pulls ended unanswered, and answers.
     fn expire(&mut self, now: Nanos, dl: DlId, serial: u64) {
         if !self.desk.is_owed(dl, serial) {
@@ -273,7 +308,7 @@
     }
 
     fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
-        let content_type = place(&self.names.content_types, &request.content_type);
+        let content_type = place(&self.config.names.content_types, &request.content_type);
         let Some(content_type) = content_type else {
             log::warn!("client: no content type '{}'", request.content_type.escape_default());
             return self.desk.write(client, tag, Answer::Abandoned);
@@ -358,8 +393,8 @@
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
             hash: stable_hash(listed.id.as_bytes()),
-            zone: ZoneId(place(&self.names.zones, &listed.zone)),
-            kind: place(&self.names.kinds, &listed.kind),
+            zone: ZoneId(place(&self.config.names.zones, &listed.zone)),
+            kind: place(&self.config.names.kinds, &listed.kind),
             cell: listed.cell.unwrap_or(0),
             readiness,
             weight: listed.weight.unwrap_or(1.0),
--- a/dispatcher/tests/dispatcher/common.rs
+++ b/dispatcher/tests/dispatcher/common.rs
@@ -111,6 +111,11 @@
         self.event(Event::Received(Peer::ChangeLog(connection), format!("{line}\n").as_bytes()));
     }
 
+    /// The configuration is read again.
+    pub fn reload(&mut self, config: &str) {
+        self.event(Event::Reload(&Config::parse(config).expect("a good configuration")));
+    }
+
     /// Lets time pass, with all that falls due.
     pub fn pass(&mut self, millis: u64) {
         let end = self.now.after(Nanos(millis * 1_000_000));
--- a/dispatcher/tests/dispatcher/loopback.rs
+++ b/dispatcher/tests/dispatcher/loopback.rs
@@ -4,6 +4,7 @@
 use expect_test::expect;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
@@ -52,6 +53,7 @@
     address: String,
     asked: Receiver<Asked>,
     log: TcpStream,
+    config: PathBuf,
 }
 
 impl Rig {
@@ -81,13 +83,8 @@
             .spawn()
             .expect("the program starts");
         // It connects to the change log once it has read its configuration and listens.
-        let (mut stream, _) = log.accept().expect("the program follows the change log");
-        let mut since = [0; 8];
-        stream.read_exact(&mut since).expect("a line");
-        assert_eq!(&since, b"since 1\n");
-        stream.write_all(b"1\n").expect("the program reads");
-        let _ = std::fs::remove_file(path);
-        Rig { program, address, asked, log: stream }
+        let log = followed(&log);
+        Rig { program, address, asked, log, config: path }
     }
 
     fn client(&self) -> TcpStream {
@@ -115,9 +112,20 @@
     fn drop(&mut self) {
         let _ = self.program.kill();
         let _ = self.program.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
+/// A stand-in of the change log that is followed from its first event.
+fn followed(log: &TcpListener) -> TcpStream {
+    let (mut stream, _) = log.accept().expect("the program follows the change log");
+    let mut since = [0; 8];
+    stream.read_exact(&mut since).expect("a line");
+    assert_eq!(&since, b"since 1\n");
+    stream.write_all(b"1\n").expect("the program reads");
+    stream
+}
+
 /// An answer's four bulk strings.
 fn items(reader: &mut impl BufRead) -> Vec<Vec<u8>> {
     let mut line = String::new();
@@ -241,6 +249,32 @@
     .assert_eq(&trace);
 }
 
+#[test]
+fn told_to_read_its_configuration_again_it_ends_nothing_and_follows_the_log_elsewhere() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
+    let mut asked = rig.asked();
+    let text = std::fs::read_to_string(&rig.config).expect("the configuration");
+    std::fs::write(&rig.config, "{").expect("a wrong one");
+    rig.signal("HUP");
+    client.write_all(&message("HEALTH", 8)).expect("the program reads");
+    let mut trace = answer(&client);
+    let elsewhere = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
+    let moved = text.replace(&address(rig.log.local_addr()), &address(elsewhere.local_addr()));
+    std::fs::write(&rig.config, moved).expect("a new one");
+    rig.signal("HUP");
+    followed(&elsewhere);
+    asked.back.write_all(b"9b1f ok - 4\r\ndone\r\n").expect("the program reads");
+    trace += &answer(&client);
+    expect![[r#"
+        8 UP
+        7 OK  done
+    "#]]
+    .assert_eq(&trace);
+}
+
 #[test]
 fn running_out_of_descriptors_ends_nothing() {
     let rig = Rig::limited("ulimit -n 24", Stdio::null());
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -383,6 +383,83 @@
     .assert_eq(&play.take());
 }
 
+#[test]
+fn a_new_configuration_moves_the_change_log_and_ends_nothing() {
+    let mut play = Play::new();
+    let moved = CONFIG.replace(":2379", ":2380").replace("\"max_attempts\": 6", "\"max_attempts\": 5");
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.log(1, r#"{"seq":2,"invalidate":{"bucket":18,"time":1764576000100}}"#);
+    play.reload(&moved);
+    play.reload(&moved);
+    play.log(1, r#"{"seq":3,"invalidate":{"bucket":19,"time":1764576000100}}"#);
+    play.event(Event::Closed(Peer::ChangeLog(1)));
+    play.log(2, r#"{"seq":3,"invalidate":{"bucket":17,"time":1764576000100}}"#);
+    play.pass(200);
+    play.client(&request(8, "image", "9b20", ",need=100,family=17"));
+    play.node(1, "9b1f ok why=local 4");
+    play.event(Event::Terminate);
+    play.reload(CONFIG);
+    play.pass(300);
+    play.node(1, "9b20 ok why=local 4");
+    play.pass(500);
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        close ChangeLog(1)
+        connect ChangeLog(2) 127.0.0.1:2380
+        ChangeLog(2) <- since 2\n
+        Node(1) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1,maxage=200 0
+        Client(1) <- *4 $1 7 $2 OK $0  $4 body
+        close ChangeLog(2)
+        connect ChangeLog(3) 127.0.0.1:2379
+        ChangeLog(3) <- since 3\n
+        Client(1) <- *4 $1 8 $2 OK $0  $4 body
+        exit
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn the_end_comes_by_the_longest_expiry_though_a_client_takes_nothing() {
+    let short = CONFIG.replace("\"deadline_s\": 5.0", "\"deadline_s\": 1.0");
+    let short = short.replace("\"deadline_s\": 3.0", "\"deadline_s\": 1.2");
+    let ends = |config: &str| {
+        let mut play = Play::of(config);
+        play.event(Event::Terminate);
+        play.calm = false;
+        play.client(&request(7, "image", "9b1f", ",need=100"));
+        for passed in [1_600, 1_800, 3_400, 3_600] {
+            play.pass(if passed > 1_600 { 200 } else { 1_600 });
+            play.trace.push_str(&format!("{passed} ms\n"));
+            play.pass(if passed == 1_800 { 1_400 } else { 0 });
+        }
+        play.take()
+    };
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        connect Node(2) 127.0.0.1:6002
+        close Node(1)
+        Client(1) <- *4 $1 7 $4 BUSY $11 holdoff=197 $0
+        close Node(2)
+        1600 ms
+        1800 ms
+        3400 ms
+        exit
+        3600 ms
+        connect Node(1) 127.0.0.1:6001
+        connect Node(2) 127.0.0.1:6002
+        close Node(1)
+        Client(1) <- *4 $1 7 $4 BUSY $11 holdoff=197 $0
+        close Node(2)
+        1600 ms
+        exit
+        1800 ms
+        3400 ms
+        3600 ms
+    "#]]
+    .assert_eq(&[CONFIG, &short].map(ends).concat());
+}
+
 #[test]
 fn without_descriptors_idle_clients_go_and_busy_ones_stay() {
     let mut play = Play::new();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -14,7 +14,7 @@
 pub type Read<T> = Result<T, String>;
 
 /// What connections to nodes are held to.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Connections {
     /// A connection not made by then never comes.
     pub connect_timeout: Nanos,
@@ -25,7 +25,7 @@
 }
 
 /// Names that the protocol uses where the module has indices.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Names {
     /// Content types.
     pub content_types: Vec<String>,
@@ -35,6 +35,15 @@
     pub kinds: Vec<String>,
 }
 
+/// What may be asked for of a content type.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Offer {
+    /// The longest that a client waits for it.
+    pub expiry: Nanos,
+    /// A download may bring bytes.
+    pub writes: bool,
+}
+
 /// The place of a name among those of the settings.
 pub fn place(names: &[String], name: &str) -> Option<u32> {
     let name = as_listed(name);
@@ -219,6 +228,18 @@
         })
     }
 
+    /// What may be asked for, by content type.
+    pub fn offers(&self) -> Read<Vec<Offer>> {
+        let types: usize = self.number("services.count")?;
+        let offer = |at: usize| {
+            Ok(Offer {
+                expiry: self.span(&format!("services.{at}.deadline_s"))?,
+                writes: matches!(self.listed("family_info.pass_on", at), Some("true" | "1")),
+            })
+        };
+        (0..types).map(offer).collect()
+    }
+
     /// The names that the protocol uses.
     pub fn protocol_names(&self) -> Read<Names> {
         let types: usize = self.number("services.count")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -104,7 +104,7 @@
 }
 
 /// What the settings say of a content type.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ContentType {
     /// An answer within this time earns the whole benefit.
     pub target_time: Nanos,
@@ -119,7 +119,7 @@
 }
 
 /// How nodes of a tier start.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdStart {
     /// Least share of its capacity with which a node starts.
     pub share: f64,
@@ -130,7 +130,7 @@
 }
 
 /// What a dispatcher is told when it starts.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Where chance starts from.
     pub seed: u64,
