--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -89,6 +89,7 @@
 
     /// Looks after connections; to be called now and then.
     pub fn sweep(&mut self) {
+        self.nodes.stuck(self.now).into_iter().for_each(|connection| self.node_closed(connection));
         self.nodes.sweep(self.now, &mut self.effects);
     }
 
@@ -274,8 +275,8 @@
 
     /// A connection to a node is over, or never came up: what had not left whole never ran.
     pub fn node_closed(&mut self, connection: u32) {
-        for (pull, whole) in self.nodes.close(connection, &mut self.effects) {
-            self.end(pull, if whole { Outcome::Broken } else { Outcome::Unreachable }, None);
+        for (pull, outcome) in self.nodes.close(connection, &mut self.effects) {
+            self.end(pull, outcome, None);
         }
     }
 
--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -291,6 +291,11 @@
                     self.set_interest(peer);
                     self.reduce(Event::Connected(peer));
                 }
+                // It was accepted and reset at once: not the same as a node that is not there.
+                Ok(Some(fault)) if fault.kind() == ErrorKind::ConnectionReset => {
+                    self.reduce(Event::Connected(peer));
+                    self.closed(peer);
+                }
                 _ => self.closed(peer),
             }
             return;
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::reducer::{Due, Effect, Peer};
 use copperroute::ids::Ids;
-use copperroute::interface::{DlId, Nanos, NodeId, Readiness};
+use copperroute::interface::{DlId, Nanos, NodeId, Outcome, Readiness};
 use copperroute::state::Slots;
 use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
 use copperroute_settings::Connections;
@@ -13,6 +13,8 @@
 const CONNECTIONS: usize = 4;
 /// Bytes of pulls handed to a connection at once; what waits longer can still be dropped unsent.
 const GATHERED: usize = 16 * 1024;
+/// An answer of which nothing more comes for so long holds up all that is out behind it.
+const STUCK: Nanos = Nanos(400_000_000);
 
 /// One pull of a download.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,8 +59,9 @@
     /// When the node last finished an answer on it; before that, when it came up. Half an answer and then
     /// silence would hold up all that is asked for behind it.
     answered: Nanos,
-    /// When it last carried anything.
+    /// When it last carried anything, and when bytes last came.
     used: Nanos,
+    heard: Nanos,
 }
 
 impl Connection {
@@ -75,6 +78,7 @@
             written: 0,
             answered: Nanos::ZERO,
             used: now,
+            heard: now,
         }
     }
 
@@ -298,7 +302,7 @@
     /// A node has sent bytes.
     pub fn received(&mut self, number: u32, bytes: &[u8], now: Nanos) {
         if let Some(connection) = self.connections.get_mut(&number) {
-            connection.used = now;
+            (connection.used, connection.heard) = (now, now);
             connection.decoder.feed(bytes);
         }
     }
@@ -322,9 +326,9 @@
         }
     }
 
-    /// A connection is over, or never came up. Returns the pulls on it in their order, and whether the last
-    /// byte of each had left.
-    pub fn close(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<(PullRef, bool)> {
+    /// A connection is over, or never came up. Returns the pulls on it in their order, and how each ended: one
+    /// whose last byte had not left never ran, and a connection that had come up says nothing of the node.
+    pub fn close(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<(PullRef, Outcome)> {
         let Some(connection) = self.connections.remove(&number) else { return Vec::new() };
         effects.push(Effect::Close(Peer::Node(number)));
         if let Some(pool) = self.pools.get_mut(connection.node.0) {
@@ -332,8 +336,10 @@
         }
         let mut out: Vec<_> = connection.out.values().collect();
         out.sort_by_key(|written| written.end);
-        let out = out.into_iter().filter_map(|w| w.pull.map(|pull| (pull, w.end <= connection.written)));
-        out.chain(connection.waiting.iter().map(|pull| (*pull, false))).collect()
+        let unsent = if connection.up { Outcome::NotSent } else { Outcome::Unreachable };
+        let end = |w: &Written| if w.end <= connection.written { Outcome::Broken } else { unsent };
+        let out = out.into_iter().filter_map(|w| w.pull.map(|pull| (pull, end(w))));
+        out.chain(connection.waiting.iter().map(|pull| (*pull, unsent))).collect()
     }
 
     /// Closes a connection that takes no further pulls once it carries none.
@@ -354,6 +360,14 @@
         }
     }
 
+    /// The connections on which an answer has begun and does not go on: they are of no further use.
+    pub fn stuck(&self, now: Nanos) -> Vec<u32> {
+        let stuck = |c: &Connection| !self.held_back && c.decoder.is_midway() && now.since(c.heard) > STUCK;
+        let mut stuck: Vec<_> = self.connections.iter().filter(|(_, c)| stuck(c)).map(|(n, _)| *n).collect();
+        stuck.sort();
+        stuck
+    }
+
     /// Closes connections that carry nothing before the node does, so that no pull crosses its close, and
     /// forgets the ids of pulls that were given up once they can't come again.
     pub fn sweep(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -23,7 +23,7 @@
 const LONGEST_DRAIN: Nanos = Nanos(3_000_000_000);
 /// Idle clients that are closed at once when descriptors run short.
 const IDLE_AT_ONCE: usize = 8;
-const SWEEP: Nanos = Nanos(1_000_000_000);
+const SWEEP: Nanos = Nanos(250_000_000);
 
 /// The other end of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/protocol/src/nodes.rs
+++ b/protocol/src/nodes.rs
@@ -164,6 +164,11 @@
         self.incoming.feed(bytes);
     }
 
+    /// Whether part of an answer has come and the rest has not.
+    pub fn is_midway(&self) -> bool {
+        self.begun.is_some() || !self.incoming.is_empty()
+    }
+
     /// The next whole answer; an error means that no more can be read here.
     pub fn next_answer(&mut self) -> Result<Option<Answer>, Unreadable> {
         if self.begun.is_none() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -133,7 +133,7 @@
         };
         let Some((node, source)) = chosen else { return self.give_up(now, id, out) };
         self.serial = self.serial.wrapping_add(1);
-        let sent = Sent { node, source, at: now, serial: self.serial, out: true };
+        let sent = Sent { node, source, at: now, serial: self.serial, out: true, left: true };
         let by_parent = !sent.is_look() && self.nodes.is_parent(source);
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
         let rank = if self.nodes.is_parent(node) { 0 } else { asked_of };
@@ -311,7 +311,7 @@
         let none_open = !caches.iter().any(|c| self.open(now, c.1));
         let answers = |id: NodeId| none_open && self.nodes.get(id).is_some_and(|n| n.started <= now);
         caches.retain(|c| self.may_repeat_at(now, dl, c.1) && (self.open(now, c.1) || answers(c.1)));
-        let tried = |id: NodeId| dl.pulls.iter().any(|p| p.node == id);
+        let tried = |id: NodeId| dl.pulls.iter().any(|p| p.left && p.node == id);
         // A download that this cache could not serve in time would only slow those begun.
         let most = IN_TIME * self.target_s(dl) / dl.work_s;
         // Where all are as full, another cache would only hold less of what is asked for.
@@ -455,9 +455,9 @@
     pub fn pull_ended(&mut self, now: Nanos, id: DlId, number: u32, end: &PullEnd, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get_mut(id.0) else { return };
         let Some(sent) = dl.pulls.get_mut(number as usize).filter(|p| p.out) else { return };
-        sent.out = false;
+        (sent.out, sent.left) = (false, end.outcome != Outcome::NotSent);
         let sent = *sent;
-        use Outcome::{CalledOff, Fulfilled, NotHeld, NotSent, Refused, Unreachable};
+        use Outcome::{CalledOff, Failed, Fulfilled, NotHeld, NotSent, Refused, Unreachable};
         let missed = end.outcome == NotHeld && sent.is_look();
         let filled = dl.pulls.iter().take(number as usize).any(|p| !p.is_look());
         let again = (filled || (number > 0 && dl.missed_at.is_none())) && !missed && end.outcome != CalledOff;
@@ -466,12 +466,19 @@
         if !worked && !never_ran && dl.may_have_run.is_none() {
             dl.may_have_run = Some((sent.at, sent.node));
         }
+        // An error may lie in what is asked for: it counts once another node could make use of that. Guards
+        // against clients that ask for nonsense; harms where all nodes err, as then none is left out.
+        let erred = (end.outcome == Failed && end.remark == Remark::None).then_some(sent.node);
+        let could = worked || end.outcome == NotHeld;
+        let blamed = if could { dl.erred_at.take() } else { None };
+        dl.erred_at = erred.or(dl.erred_at);
         dl.missed_at = missed.then_some(sent.node);
         let dl = dl.clone();
         if !sent.is_look() {
             self.fill_ended(now, &dl, &sent, end);
         }
         self.judge(now, &dl, &sent, end, out);
+        blamed.into_iter().for_each(|node| self.mark(now, node, false, false, out));
         if again {
             self.further.add(now, usize::from(!worked), 1.0);
         }
@@ -600,8 +607,10 @@
             (Failed | Refused | NotHeld, Some(source)) if Some(source) != origin => {
                 self.mark(now, source, false, false, out)
             }
-            (Failed, None) | (Broken, _) => self.mark(now, sent.node, false, false, out),
-            (Unreachable, _) => self.mark(now, sent.node, false, true, out),
+            // All that was on a connection ends with it, which is one failure.
+            (Broken | Unreachable, _) if self.nodes.saw_break(now, sent.node) => {
+                self.mark(now, sent.node, false, end.outcome == Unreachable, out)
+            }
             _ => {}
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,6 +84,8 @@
     pub serial: u32,
     /// Its end has not been told yet.
     pub out: bool,
+    /// It left for the node, as far as is known.
+    pub left: bool,
 }
 
 impl Sent {
@@ -121,13 +123,15 @@
     pub missed_at: Option<NodeId>,
     /// The first pull that is not proved never to have run.
     pub may_have_run: Option<(Nanos, NodeId)>,
+    /// The node that last answered with an error of its own.
+    pub erred_at: Option<NodeId>,
 }
 
 impl Dl {
     /// A download just taken, with its sending time and what MC3 says.
     pub fn new(d: Download, work_s: f64, keep: Keep) -> Self {
-        let (pulls, missed_at, may_have_run) = (Vec::new(), None, None);
-        Dl { d, stage: Stage::Taken, work_s, keep, pulls, missed_at, may_have_run }
+        let (pulls, stage) = (Vec::new(), Stage::Taken);
+        Dl { d, stage, work_s, keep, pulls, missed_at: None, may_have_run: None, erred_at: None }
     }
 }
 
@@ -268,6 +272,8 @@
     pub aside_until: Nanos,
     /// To be tried with one pull first.
     pub on_trial: bool,
+    /// When a connection to it last broke, or could not be made.
+    pub broke: Nanos,
 }
 
 impl Node {
@@ -286,6 +292,7 @@
             heard: Nanos::ZERO,
             aside_until: Nanos::ZERO,
             on_trial: false,
+            broke: Nanos::ZERO,
         }
     }
 
@@ -411,6 +418,11 @@
         }
     }
 
+    /// Notes that a connection to a node broke, or could not be made; tells whether that is news of this moment.
+    pub fn saw_break(&mut self, now: Nanos, id: NodeId) -> bool {
+        self.get_mut(id).is_some_and(|n| std::mem::replace(&mut n.broke, now) != now)
+    }
+
     /// Whether this is a parent.
     pub fn is_parent(&self, id: NodeId) -> bool {
         self.get(id).is_some_and(|n| Some(n.e.kind) == self.parent_kind)
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -53,6 +53,7 @@
     for dl in 0..2 {
         ask(&mut module, ms(1_000), dl, 0, 9, &mut trace);
         module.pull_ended(ms(1_010), DlId(dl), 0, &end(Outcome::Failed, Remark::None), &mut trace);
+        module.pull_ended(ms(1_020), DlId(dl), 1, &end(Outcome::Fulfilled, Remark::Hit), &mut trace);
     }
     for (dl, at) in [(10, 7_000), (11, 7_001)] {
         ask(&mut module, ms(at), dl, 0, 9, &mut trace);
@@ -63,8 +64,8 @@
         dl 0: pull 1 from 1 rank 0 join
         dl 0: pull 2 from 2 rank 0 join
         dl 1: pull 1 from 1 rank 1 join
-        note: node 1 set aside
         dl 1: pull 2 from 2 rank 1 join
+        note: node 1 set aside
         dl 10: pull 1 from 1 rank 1 join
         dl 11: pull 2 from 2 rank 1 join
         dl 12: pull 1 from 1 rank 1 join
@@ -72,6 +73,38 @@
     .assert_eq(&trace.0);
 }
 
+#[test]
+fn what_errs_at_every_cache_says_nothing_of_them() {
+    let (mut module, mut trace) = start(settings());
+    for dl in 0..3 {
+        ask(&mut module, ms(1_000), dl, 0, 9, &mut trace);
+        for number in 0..3 {
+            let error = end(Outcome::Failed, Remark::None);
+            module.pull_ended(ms(1_010), DlId(dl), number, &error, &mut trace);
+        }
+    }
+    assert!(!trace.0.contains("set aside"), "{}", trace.0);
+}
+
+#[test]
+fn a_connection_that_ends_is_one_failure_however_much_was_on_it() {
+    let (mut module, mut trace) = start(settings());
+    (0..4).for_each(|dl| ask(&mut module, ms(1_000), dl, 0, 9, &mut trace));
+    trace.0.clear();
+    for (dl, outcome) in [(0, Outcome::Broken), (1, Outcome::Broken), (2, Outcome::NotSent)] {
+        module.pull_ended(ms(1_010), DlId(dl), 0, &end(outcome, Remark::None), &mut trace);
+    }
+    module.pull_ended(ms(1_020), DlId(3), 0, &end(Outcome::Broken, Remark::None), &mut trace);
+    expect![[r#"
+        dl 0: pull 2 from 2 rank 0 join
+        dl 1: pull 2 from 2 rank 1 join
+        dl 2: pull 1 from 1 rank 1 join
+        note: node 1 set aside
+        dl 3: pull 2 from 2 rank 1 join
+    "#]]
+    .assert_eq(&trace.0);
+}
+
 #[test]
 fn a_silent_origin_leaves_the_parents_copies_in_use() {
     // Nine fills hang while the caches answer and both parents serve what they hold.
