--- a/dispatcher/src/changes.rs
+++ b/dispatcher/src/changes.rs
@@ -7,8 +7,8 @@
 use copperroute_protocol::changes::{Change, Decoder, Line, encode_since};
 use std::net::SocketAddr;
 
-/// A line comes each second; after this long without one the connection counts as dead.
-const SILENT_AFTER: Nanos = Nanos(3_000_000_000);
+/// A line comes each second; after this long without a whole one the connection counts as dead.
+const SILENT_AFTER: Nanos = Nanos(2_000_000_000);
 /// It is connected to anew after so long, and up to as long again.
 const RECONNECT: Nanos = Nanos(100_000_000);
 
@@ -24,8 +24,8 @@
     open: bool,
     /// The last word in the log was that it is lost.
     lost: bool,
-    /// The number of an event that could not be used; if it comes so again, it is passed over.
-    unusable: Option<u64>,
+    /// The number of an event that could not be used, or came too early; if it comes so again, that stands.
+    doubted: Option<u64>,
     /// When it last told anything.
     heard: Nanos,
     decoder: Decoder,
@@ -41,7 +41,7 @@
             connection: 0,
             open: false,
             lost: false,
-            unusable: None,
+            doubted: None,
             heard: Nanos::ZERO,
             decoder: Decoder::default(),
             chance,
@@ -111,9 +111,8 @@
     }
 
     /// Bytes have come.
-    pub fn received(&mut self, number: u32, bytes: &[u8], now: Nanos) {
+    pub fn received(&mut self, number: u32, bytes: &[u8]) {
         if self.open && self.connection == number {
-            self.heard = now;
             self.decoder.feed(bytes);
         }
     }
@@ -121,8 +120,20 @@
     /// The next event, each once and in order; nothing if there is none yet, or none to be had here.
     pub fn next_change(&mut self, now: Nanos, effects: &mut Vec<Effect>) -> Option<Change> {
         while self.open {
-            match self.decoder.next_line() {
+            let line = self.decoder.next_line();
+            if matches!(line, Ok(Some(_))) {
+                self.heard = now;
+            }
+            match line {
                 Ok(None) => return None,
+                // Numbers have no gaps: what is between was lost on its way, unless it is not told again either.
+                Ok(Some(Line::Change(change)))
+                    if change.seq > self.applied + 1 && self.doubted != Some(change.seq) =>
+                {
+                    log::warn!("change log: event {} after {}", change.seq, self.applied);
+                    self.doubted = Some(change.seq);
+                    self.closed(self.connection, now, effects);
+                }
                 Ok(Some(Line::Change(change))) if change.seq > self.applied => {
                     self.applied = change.seq;
                     return Some(*change);
@@ -135,10 +146,10 @@
                 Ok(Some(Line::Unusable(seq, fault))) => {
                     log::warn!("change log: event {seq}: {fault}");
                     // Once it may have been cut or mixed up on its way; for ever it would hold up all behind it.
-                    if self.unusable == Some(seq) {
+                    if self.doubted == Some(seq) {
                         self.applied = self.applied.max(seq);
                     } else {
-                        self.unusable = Some(seq);
+                        self.doubted = Some(seq);
                         self.closed(self.connection, now, effects);
                     }
                 }
--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -8,6 +8,16 @@
 /// A client with more unsent than this is not read from until half of it has left.
 const UNSENT: u64 = 512 * 1024;
 
+/// Requests open on one connection at most, by the protocol.
+pub const MOST_OPEN: usize = 32;
+/// From when it connects a client has so long to send its first whole request, and so long for any later one
+/// that has begun. Guards against those who say nothing or half of something; harms who needs longer for 48 KB.
+const SPEAKS: Nanos = Nanos(2_000_000_000);
+/// A client that asked and then rests for so long is closed. Usual ones close by themselves after half of it.
+const RESTS: Nanos = Nanos(8_000_000_000);
+/// A client that has just connected is about to speak.
+const YOUNG: Nanos = Nanos(100_000_000);
+
 /// One connection of a client.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -22,6 +32,12 @@
     held_back: bool,
     /// When bytes last left, or began to wait.
     moved: Nanos,
+    /// When it connected, or last sent a whole message, or was last written to.
+    active: Nanos,
+    /// It has asked for something.
+    asked: bool,
+    /// Since when the rest of a message is missing.
+    midway: Option<Nanos>,
 }
 
 impl Client {
@@ -32,6 +48,25 @@
     fn is_idle(&self) -> bool {
         self.open.is_empty() && self.unsent() == 0
     }
+
+    /// A whole message has come.
+    pub fn spoke(&mut self, now: Nanos) {
+        (self.active, self.asked, self.midway) = (now, true, None);
+    }
+
+    /// All that came has been decoded, as far as it is whole.
+    pub fn pauses(&mut self, now: Nanos) {
+        self.decoder.settle();
+        self.midway = self.decoder.is_midway().then(|| self.midway.unwrap_or(now));
+    }
+
+    /// It said nothing, or half of something, or rested, for too long.
+    fn is_overdue(&self, now: Nanos) -> bool {
+        let late = |since: Nanos, span: Nanos| now.since(since) > span;
+        (!self.asked && late(self.active, SPEAKS))
+            || self.midway.is_some_and(|since| late(since, SPEAKS))
+            || (self.is_idle() && late(self.active, RESTS))
+    }
 }
 
 /// The connections of all clients.
@@ -53,8 +88,8 @@
     }
 
     /// A client has connected.
-    pub fn accept(&mut self, number: u32) {
-        self.by_number.insert(number, Client::default());
+    pub fn accept(&mut self, number: u32, now: Nanos) {
+        self.by_number.insert(number, Client { active: now, ..Client::default() });
     }
 
     /// A client that is still there.
@@ -77,6 +112,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(client) = self.by_number.get_mut(&number) else { return };
+        client.active = now;
         if client.unsent() == 0 {
             client.moved = now;
         }
@@ -112,6 +148,14 @@
         open
     }
 
+    /// The clients that said nothing, or half of something, or rested, for too long.
+    pub fn overdue(&self, now: Nanos) -> Vec<u32> {
+        let overdue = self.by_number.iter().filter(|(_, client)| client.is_overdue(now));
+        let mut overdue: Vec<_> = overdue.map(|(number, _)| *number).collect();
+        overdue.sort();
+        overdue
+    }
+
     /// The clients that have taken nothing of what waits for them for so long.
     pub fn stuck(&self, now: Nanos, span: Nanos) -> Vec<u32> {
         let stuck = |client: &Client| client.unsent() > 0 && now.since(client.moved) > span;
@@ -120,12 +164,14 @@
         stuck
     }
 
-    /// Closes up to `most` of the oldest connections on which nothing is open, but not the one that is spared.
-    pub fn close_idle(&mut self, most: usize, spared: Option<u32>, effects: &mut Vec<Effect>) {
+    /// Closes up to `most` connections on which nothing is open, but not the one that is spared: first those
+    /// that never asked, then those that rested longest, last those that have just come.
+    pub fn close_idle(&mut self, most: usize, spared: Option<u32>, now: Nanos, effects: &mut Vec<Effect>) {
         let idle = self.by_number.iter().filter(|(number, c)| c.is_idle() && Some(**number) != spared);
-        let mut idle: Vec<_> = idle.map(|(number, _)| *number).collect();
+        let place = |c: &Client| if c.asked { 1 } else { 2 * u8::from(now.since(c.active) < YOUNG) };
+        let mut idle: Vec<_> = idle.map(|(number, c)| (place(c), c.active, *number)).collect();
         idle.sort();
-        for number in idle.into_iter().take(most) {
+        for (_, _, number) in idle.into_iter().take(most) {
             self.remove(number, effects);
         }
     }
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -11,9 +11,10 @@
 };
 use copperroute::state::Slots;
 use copperroute_protocol::clients::{Answer, Request};
+use copperroute_protocol::hex::Hex;
 use copperroute_protocol::nodes::{self, Fetch};
 use copperroute_settings::Connections;
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 /// Of the memory, what may wait for clients. With more than half of that, those that are held back for reading
 /// slowly get no further bytes; with more than all of it, nodes are not read from until half of it has left.
@@ -39,6 +40,8 @@
     tag: u64,
     request: Request,
     expires: Nanos,
+    /// It is answered with a copy, which has a tag.
+    of_copies: bool,
     /// Its answer is still owed.
     owed: bool,
     pulls: Vec<HeldPull>,
@@ -55,7 +58,9 @@
     held: Slots<Held>,
     serial: u64,
     owed: usize,
-    objects: Ids<(String, u64)>,
+    objects: Ids<(Hex, u64)>,
+    /// The ids of the downloads in hand.
+    asked: HashSet<Hex>,
     most_unsent: u64,
     /// Ends of pulls that the module is to hear of.
     pub ended: VecDeque<(PullRef, PullEnd)>,
@@ -75,6 +80,7 @@
             serial: 0,
             owed: 0,
             objects: Ids::default(),
+            asked: HashSet::new(),
             most_unsent: memory_mb * 1024 * 1024 / UNSENT_PART,
             ended: VecDeque::new(),
             effects: Vec::new(),
@@ -96,21 +102,33 @@
     // Downloads.
 
     /// Takes a download and arms its expiry.
-    pub fn open(&mut self, client: u32, tag: u64, request: Request) -> (DlId, ObjectId, Nanos) {
+    pub fn open(
+        &mut self,
+        client: u32,
+        tag: u64,
+        request: Request,
+        of_copies: bool,
+    ) -> (DlId, ObjectId, Nanos) {
         self.serial += 1;
         let dl = DlId(self.dls.open(self.serial));
-        let object = ObjectId(self.objects.open((request.object.clone(), request.part)));
+        let object = ObjectId(self.objects.open((request.object, request.part)));
         let expires = self.now.after(Nanos(request.timeout_ms.saturating_mul(1_000_000)));
         self.effects.push(Effect::Arm(expires, Due::Expiry(dl, self.serial)));
+        self.asked.insert(request.id);
         if let Some(client) = self.clients.get_mut(client) {
             client.open.insert(tag, dl);
         }
         let (serial, owed, pulls) = (self.serial, true, Vec::new());
-        self.held.put(dl.0, Held { serial, client, tag, request, expires, owed, pulls });
+        self.held.put(dl.0, Held { serial, client, tag, request, expires, of_copies, owed, pulls });
         self.owed += 1;
         (dl, object, expires)
     }
 
+    /// Whether a download with this id is in hand.
+    pub fn has(&self, id: Hex) -> bool {
+        self.asked.contains(&id)
+    }
+
     /// Writes to a client, if it is still there.
     pub fn write(&mut self, client: u32, tag: u64, answer: Answer<'_>) {
         self.clients.write(client, tag, answer, self.now, &mut self.effects);
@@ -215,7 +233,7 @@
     fn give_up(&mut self, pull: PullRef, outcome: Outcome) {
         let Some(held) = self.held.get(pull.dl.0) else { return };
         let Some(out) = held.pulls.get(pull.number as usize).filter(|out| out.out) else { return };
-        let id = &held.request.id;
+        let id = held.request.id;
         let unsent = self.nodes.give_up(out.connection, pull, id, held.owed, &mut self.effects);
         let outcome = if unsent && outcome == Outcome::TimedOut { Outcome::NotSent } else { outcome };
         self.end(pull, outcome, None);
@@ -230,15 +248,15 @@
             let (request, order) = (&held.request, &out.pull);
             let until = order.try_for.map_or(held.expires, |span| out.at.after(span).min(held.expires));
             let fetch = Fetch {
-                id: &request.id,
+                id: request.id,
                 content_type: &request.content_type,
-                object: &request.object,
+                object: request.object,
                 part: request.part,
                 wait: until.since(now),
                 source: out.source.as_deref(),
                 // The age means the same moment as when it was ordered.
                 order: Pull { max_age: order.max_age.map(|age| age.after(now.since(out.at))), ..*order },
-                held: request.held.as_deref(),
+                held: request.held,
                 body: &request.body,
             };
             Some((fetch, held.expires))
@@ -267,12 +285,27 @@
             match self.nodes.answer(connection, self.now) {
                 Next::Nothing => return self.nodes.close_if_spent(connection, &mut self.effects),
                 Next::Answer(None, _) => {}
-                Next::Answer(Some(pull), answer) => self.end(pull, answer.outcome, Some(&answer)),
+                Next::Answer(Some(pull), answer) if self.is_sound(pull, &answer) => {
+                    self.end(pull, answer.outcome, Some(&answer));
+                }
+                Next::Answer(Some(pull), _) => {
+                    self.end(pull, Outcome::Broken, None);
+                    return self.node_closed(connection);
+                }
                 Next::Unreadable => return self.node_closed(connection),
             }
         }
     }
 
+    /// Whether an answer can be one to this pull: a copy comes with its tag and time, and only who holds one
+    /// hears that it still is the one. Where not, nothing on that connection can be trusted.
+    fn is_sound(&self, pull: PullRef, answer: &nodes::Answer) -> bool {
+        let Some(held) = self.held.get(pull.dl.0) else { return true };
+        let copy = answer.of_copy || !held.of_copies;
+        let current = held.request.held.is_some() && answer.body.is_empty();
+        answer.outcome != Outcome::Fulfilled || (copy && (current || !answer.current))
+    }
+
     /// A connection to a node is over, or never came up: what had not left whole never ran.
     pub fn node_closed(&mut self, connection: u32) {
         for (pull, outcome) in self.nodes.close(connection, &mut self.effects) {
@@ -308,7 +341,7 @@
     /// An object or group was purged: what waits to be sent was ordered with an older copy in mind.
     pub fn purged(&mut self, object: Option<&str>, group: Option<u64>) {
         self.take_back(|held, _| match object {
-            Some(object) => held.request.object == object,
+            Some(object) => held.request.object.as_str() == object,
             None => held.request.group == group,
         });
     }
@@ -331,14 +364,14 @@
         let Some(held) = self.held.get_mut(dl.0) else { return };
         let place = PullRef { dl, number: held.pulls.len() as u32 };
         let source = (pull.source != pull.node).then(|| self.nodes.id(pull.source).to_string());
-        let id = &held.request.id;
+        let id = held.request.id;
         let connection = self.nodes.take(pull.node, place, id, self.now, &mut self.effects);
         let (at, number) = (self.now, connection.unwrap_or_default());
         held.pulls.push(HeldPull { pull: *pull, source, at, out: true, connection: number });
         match connection {
             Some(connection) => self.hand_over(connection),
-            // As if it took no connection more.
-            None => self.end(place, Outcome::Unreachable, None),
+            // All its connections carry what they may, which says nothing of the node.
+            None => self.end(place, Outcome::NotSent, None),
         }
     }
 
@@ -367,6 +400,9 @@
     }
 
     fn release(&mut self, dl: DlId) {
+        if let Some(held) = self.held.get(dl.0) {
+            self.asked.remove(&held.request.id);
+        }
         self.held.clear(dl.0);
         self.dls.release(dl.0);
     }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -1,9 +1,11 @@
 //! Node connections: a few for each node, shared by its pulls.
 
+use crate::logs::Sparse;
 use crate::reducer::{Due, Effect, Peer};
 use copperroute::ids::Ids;
 use copperroute::interface::{DlId, Nanos, NodeId, Outcome, Readiness};
 use copperroute::state::Slots;
+use copperroute_protocol::hex::Hex;
 use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
 use copperroute_settings::Connections;
 use std::collections::{HashMap, VecDeque};
@@ -50,7 +52,7 @@
     /// Pulls not yet written.
     waiting: VecDeque<PullRef>,
     /// Pulls written and not yet answered, by the downloads' ids.
-    out: HashMap<String, Written>,
+    out: HashMap<Hex, Written>,
     /// How many of those still are somebody's.
     live: usize,
     /// Bytes given to the connection, and those that have left.
@@ -111,13 +113,15 @@
     last: u32,
     /// Nothing is read from them for now.
     held_back: bool,
+    complaints: Sparse,
 }
 
 impl Nodes {
     /// No nodes yet.
     pub fn new(limits: Connections) -> Self {
         let (ids, pools, connections) = (Ids::default(), Slots::default(), HashMap::new());
-        Nodes { limits, ids, pools, connections, last: 0, held_back: false }
+        let complaints = Sparse::default();
+        Nodes { limits, ids, pools, connections, last: 0, held_back: false, complaints }
     }
 
     /// Takes new limits.
@@ -184,7 +188,7 @@
         &mut self,
         node: NodeId,
         pull: PullRef,
-        id: &str,
+        id: Hex,
         now: Nanos,
         effects: &mut Vec<Effect>,
     ) -> Option<u32> {
@@ -193,7 +197,7 @@
         let usable = |number: &&u32| self.connections.get(number).is_some_and(|c| !c.retired);
         let fits = |number: &&u32| {
             let connection = self.connections.get(number);
-            connection.is_some_and(|c| c.load() < self.limits.streams && !c.out.contains_key(id))
+            connection.is_some_and(|c| c.load() < self.limits.streams && !c.out.contains_key(&id))
         };
         let load = |number: &&u32| self.connections.get(number).map_or(0, Connection::load);
         let best = pool.connections.iter().filter(usable).filter(fits).min_by_key(load).copied();
@@ -234,7 +238,7 @@
             encode_fetch(&fetch, &mut bytes);
             let end = connection.queued + bytes.len() as u64;
             let written = Written { pull: Some(pull), at: now, end, expires };
-            connection.out.insert(fetch.id.to_string(), written);
+            connection.out.insert(fetch.id, written);
             connection.live += 1;
         }
         if !bytes.is_empty() {
@@ -250,7 +254,7 @@
         &mut self,
         number: u32,
         pull: PullRef,
-        id: &str,
+        id: Hex,
         waited_for: bool,
         effects: &mut Vec<Effect>,
     ) -> bool {
@@ -260,7 +264,7 @@
             self.close_if_spent(number, effects);
             return true;
         }
-        let Some(written) = connection.out.get_mut(id) else { return false };
+        let Some(written) = connection.out.get_mut(&id) else { return false };
         written.pull = None;
         connection.live -= 1;
         let (node, since) = (connection.node, written.at);
@@ -312,15 +316,19 @@
     pub fn answer(&mut self, number: u32, now: Nanos) -> Next {
         let Some(connection) = self.connections.get_mut(&number) else { return Next::Nothing };
         match connection.decoder.next_answer() {
-            Ok(None) => Next::Nothing,
+            Ok(None) => {
+                connection.decoder.settle();
+                Next::Nothing
+            }
             Ok(Some(answer)) => {
                 connection.answered = now;
-                let pull = connection.out.remove(&answer.id).and_then(|written| written.pull);
+                let written = answer.id.and_then(|id| connection.out.remove(&id));
+                let pull = written.and_then(|written| written.pull);
                 connection.live -= usize::from(pull.is_some());
                 Next::Answer(pull, answer)
             }
             Err(fault) => {
-                log::warn!("node {}: {fault}", self.ids.key(connection.node.0));
+                self.complaints.warn(now, format_args!("node {}: {fault}", self.ids.key(connection.node.0)));
                 Next::Unreadable
             }
         }
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -2,9 +2,11 @@
 //! connected or timed comes out as effects, which the event loop carries out.
 
 use crate::changes::ChangeLog;
+use crate::clients::MOST_OPEN;
 use crate::clock::Epoch;
 use crate::config::Config;
 use crate::desk::Desk;
+use crate::logs::Sparse;
 use crate::nodes::Pool;
 use crate::phases::{Life, Phase};
 use copperroute::chance::Chance;
@@ -108,6 +110,8 @@
     last_requests: bool,
     /// All that was owed has been answered, whoever takes it or not.
     drained: bool,
+    /// Lines that clients cause.
+    complaints: Sparse,
     /// What the program was started with, and what has been taken of it since.
     config: Config,
 }
@@ -124,6 +128,7 @@
             epoch,
             last_requests: false,
             drained: false,
+            complaints: Sparse::default(),
             config,
         }
     }
@@ -139,9 +144,14 @@
         match event {
             Event::Started => self.start(now),
             Event::Accepted(number) => {
-                self.desk.clients.accept(number);
+                self.desk.clients.accept(number, now);
                 if self.desk.clients.count() > self.most_clients() {
-                    self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), &mut self.desk.effects);
+                    self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), now, &mut self.desk.effects);
+                }
+                // Nodes must stay within reach, whatever clients do.
+                if self.desk.clients.count() > self.most_clients() * 3 / 2 {
+                    self.complaints.warn(now, format_args!("client: one too many, closed"));
+                    self.client_closed(now, number);
                 }
             }
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
@@ -151,7 +161,7 @@
             Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
             Event::Received(Peer::Node(number), bytes) => self.desk.node_received(number, bytes),
             Event::Received(Peer::ChangeLog(number), bytes) => {
-                self.log.received(number, bytes, now);
+                self.log.received(number, bytes);
                 while let Some(change) = self.log.next_change(now, &mut self.desk.effects) {
                     self.apply(now, &change);
                 }
@@ -173,7 +183,7 @@
             }
             Event::Reload(config) => self.reload(now, config),
             Event::NoDescriptors => {
-                self.desk.clients.close_idle(IDLE_AT_ONCE, None, &mut self.desk.effects);
+                self.desk.clients.close_idle(IDLE_AT_ONCE, None, now, &mut self.desk.effects);
             }
             Event::Connected(Peer::Client(_)) | Event::Written(Peer::ChangeLog(_), _) => {}
         }
@@ -212,7 +222,10 @@
                 self.desk.sweep();
                 // Nobody waits that long for an answer: such a client has vanished.
                 for number in self.desk.clients.stuck(now, self.client_patience()) {
-                    log::warn!("client: takes nothing, closed");
+                    self.complaints.warn(now, format_args!("client: takes nothing, closed"));
+                    self.client_closed(now, number);
+                }
+                for number in self.desk.clients.overdue(now) {
                     self.client_closed(now, number);
                 }
                 self.log.watch(now, &mut self.desk.effects);
@@ -278,45 +291,75 @@
         let Some(client) = self.desk.clients.get_mut(number) else { return };
         client.decoder.feed(bytes);
         while let Some(client) = self.desk.clients.get_mut(number) {
-            match client.decoder.next_message() {
-                Ok(None) => return,
-                Ok(Some(Message::Request(tag, _))) if client.open.contains_key(&tag) => {
-                    log::warn!("client: tag {tag} is open already");
+            let message = match client.decoder.next_message() {
+                Ok(Some(message)) => message,
+                Ok(None) => return client.pauses(now),
+                Err(fault) => {
+                    self.complaints.warn(now, format_args!("client: {fault}"));
                     return self.client_closed(now, number);
                 }
-                Ok(Some(Message::Request(tag, request))) => self.download(now, number, tag, *request),
-                Ok(Some(Message::Unusable(tag, why))) => {
-                    log::warn!("client: {why}");
-                    self.desk.write(number, tag, Answer::Abandoned);
+            };
+            client.spoke(now);
+            let (Message::Request(tag, _)
+            | Message::Unusable(tag, _)
+            | Message::Abort(tag)
+            | Message::Health(tag)) = message;
+            let (open, taken) = (client.open.get(&tag).copied(), client.open.len());
+            match message {
+                Message::Abort(_) => open.into_iter().for_each(|dl| self.forsake(now, dl)),
+                // Two answers under one tag could not be told apart.
+                _ if open.is_some() => {
+                    self.complaints.warn(now, format_args!("client: tag {tag} is open already"));
+                    return self.client_closed(now, number);
                 }
-                Ok(Some(Message::Abort(tag))) => {
-                    let dl = client.open.get(&tag).copied();
-                    dl.into_iter().for_each(|dl| self.forsake(now, dl));
+                Message::Request(..) if taken >= MOST_OPEN => {
+                    self.desk.write(number, tag, Answer::Throttled(None));
+                }
+                Message::Request(_, request) => self.download(now, number, tag, *request),
+                Message::Unusable(_, why) => {
+                    self.complaints.warn(now, format_args!("client: {why}"));
+                    self.desk.write(number, tag, Answer::Abandoned);
                 }
-                Ok(Some(Message::Health(tag))) => {
+                Message::Health(_) => {
                     let up = self.life.phase() == Phase::Serving;
                     self.desk.write(number, tag, if up { Answer::Up } else { Answer::Down });
                 }
-                Err(fault) => {
-                    log::warn!("client: {fault}");
-                    return self.client_closed(now, number);
-                }
             }
             // What the module has ended at once must be heard before the next download is decided.
             self.hand_on_ends(now);
         }
     }
 
+    /// The content type of a request that the settings allow, or why they don't.
+    fn usable(&self, request: &Request) -> Result<u32, String> {
+        let name = &request.content_type;
+        let content_type = place(&self.config.names.content_types, name)
+            .ok_or_else(|| format!("no content type '{}'", name.escape_default()))?;
+        let offer = self.config.offers[content_type as usize];
+        match request {
+            _ if request.timeout_ms > offer.expiry.0.div_ceil(1_000_000) => {
+                Err(format!("timeout: {} ms are more than the expiry of '{name}'", request.timeout_ms))
+            }
+            _ if !request.body.is_empty() && !offer.writes => Err(format!("'{name}' takes no bytes")),
+            // Answers of two downloads with one id could not be told apart.
+            _ if self.desk.has(request.id) => Err(format!("req: {} is open already", request.id)),
+            _ => Ok(content_type),
+        }
+    }
+
     fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
-        let content_type = place(&self.config.names.content_types, &request.content_type);
-        let Some(content_type) = content_type else {
-            log::warn!("client: no content type '{}'", request.content_type.escape_default());
-            return self.desk.write(client, tag, Answer::Abandoned);
+        let content_type = match self.usable(&request) {
+            Ok(content_type) => content_type,
+            Err(why) => {
+                self.complaints.warn(now, format_args!("client: {why}"));
+                return self.desk.write(client, tag, Answer::Abandoned);
+            }
         };
-        let object_hash = stable_hash(request.object.as_bytes());
+        let of_copies = !self.config.offers[content_type as usize].writes;
+        let object_hash = stable_hash(request.object.as_str().as_bytes());
         let (part, group) = (request.part, request.group);
         let (repeat, size_kb) = (request.repeat, request.size_kb);
-        let (dl, object, expires) = self.desk.open(client, tag, request);
+        let (dl, object, expires) = self.desk.open(client, tag, request, of_copies);
         let download = Download {
             dl,
             content_type: TypeId(content_type),
--- a/protocol/src/clients.rs
+++ b/protocol/src/clients.rs
@@ -1,26 +1,30 @@
 //! Clients: RESP arrays of bulk strings.
 
-use crate::incoming::{Incoming, Unreadable, fields};
+use crate::hex::Hex;
+use crate::incoming::{Incoming, Unreadable, digits};
 
-const MOST_ITEMS: usize = 8;
-const LONGEST_ITEM: usize = 256 * 1024;
+/// The most bytes of each item of a message: verb, tag, content type, fields, body.
+const ITEMS: [usize; 5] = [16, 20, 128, 4096, 48_000];
 const LONGEST_LINE: usize = 32;
-/// What is asked for is kept in mind for as long as its client says it waits.
-const LONGEST_WAIT_MS: u64 = 86_400_000;
+const MOST_TAG: u64 = u64::MAX;
+const MOST_PART: u64 = u32::MAX as u64;
+const MOST_GROUP: u64 = 255;
+/// Sizes are told in KB; no object has a terabyte.
+const MOST_KB: f64 = 1e9;
 
 /// A download as a client asks for it.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Request {
     /// The name of its content type.
     pub content_type: String,
     /// Its own id, passed on unchanged.
-    pub id: String,
+    pub id: Hex,
     /// How long the client waits, in milliseconds.
     pub timeout_ms: u64,
     /// A client's retry.
     pub repeat: bool,
     /// The object.
-    pub object: String,
+    pub object: Hex,
     /// The part of it.
     pub part: u64,
     /// The group of the object.
@@ -28,7 +32,7 @@
     /// The size of the part, as the deployment counts it.
     pub size_kb: Option<f64>,
     /// The tag of a copy that the client holds.
-    pub held: Option<String>,
+    pub held: Option<Hex>,
     /// What a write brings.
     pub body: Vec<u8>,
 }
@@ -75,45 +79,47 @@
 }
 
 fn count(line: &str, mark: char, most: usize) -> Result<usize, Unreadable> {
-    let number = line.strip_prefix(mark).and_then(|digits| digits.parse().ok());
+    let number = line.strip_prefix(mark).and_then(|number| digits(number, most as u64));
     let expected = || Unreadable(format!("expected '{mark}' and a length up to {most}, found '{line}'"));
-    number.filter(|number| *number <= most).ok_or_else(expected)
+    number.map(|number| number as usize).ok_or_else(expected)
 }
 
-/// Whether a word may go on into a line of fields as it is.
-fn is_word(text: &str) -> bool {
-    let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':');
-    !text.is_empty() && text.len() <= 128 && text.bytes().all(plain)
+/// A size as it is written: digits, with or without a fraction.
+fn size(value: &str) -> Option<f64> {
+    let plain = value.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    value.parse().ok().filter(|kb| plain && *kb > 0.0 && *kb <= MOST_KB)
 }
 
+/// Reads a list of fields: each of those known once at most and of its form and range; others are passed over.
 fn request(content_type: &[u8], list: &[u8], body: Vec<u8>) -> Result<Request, String> {
     let text = |bytes| std::str::from_utf8(bytes).map_err(|_| "a field that is no UTF-8".to_string());
-    let mut request = Request { content_type: text(content_type)?.to_string(), body, ..Request::default() };
-    let number = |name: &str, value: &str| {
-        value.parse::<u64>().map_err(|_| format!("{name}: expected a number, found '{value}'"))
-    };
-    for (name, value) in fields(text(list)?) {
-        match name {
-            "req" => request.id = value.to_string(),
-            "timeout" => request.timeout_ms = number(name, value)?,
-            "resent" => request.repeat = value == "1",
-            "subject" => request.object = value.to_string(),
-            "block" => request.part = number(name, value)?,
-            "family" => request.group = Some(number(name, value)?),
-            "need" => request.size_kb = value.parse().ok().filter(|kb: &f64| kb.is_finite() && *kb > 0.0),
-            "cached" => request.held = Some(value.to_string()).filter(|tag| is_word(tag)),
-            _ => {}
-        }
-    }
-    for (name, value) in [("req", &request.id), ("subject", &request.object)] {
-        if !is_word(value) {
-            return Err(format!("{name}: expected a word, found '{value}'"));
+    let names = ["req", "timeout", "resent", "subject", "block", "family", "need", "cached"];
+    let mut values: [Option<&str>; 8] = [None; 8];
+    for pair in text(list)?.split(',') {
+        let (name, value) = pair.split_once('=').ok_or_else(|| format!("'{pair}' is no field"))?;
+        if let Some(at) = names.iter().position(|known| *known == name)
+            && values[at].replace(value).is_some()
+        {
+            return Err(format!("{name}: given twice"));
         }
     }
-    match request.timeout_ms {
-        1..=LONGEST_WAIT_MS => Ok(request),
-        _ => Err("timeout: expected milliseconds, a day of them at most".to_string()),
-    }
+    let wrong = |at: usize| format!("{}: can't be '{}'", names[at], values[at].unwrap_or_default());
+    let hex = |at: usize| values[at].map(|value| Hex::read(value).ok_or_else(|| wrong(at))).transpose();
+    let number = |at: usize, most: u64| {
+        values[at].map(|value| digits(value, most).ok_or_else(|| wrong(at))).transpose()
+    };
+    Ok(Request {
+        content_type: text(content_type)?.to_string(),
+        id: hex(0)?.ok_or_else(|| wrong(0))?,
+        timeout_ms: number(1, u64::MAX)?.filter(|ms| *ms > 0).ok_or_else(|| wrong(1))?,
+        repeat: number(2, 1)? == Some(1),
+        object: hex(3)?.ok_or_else(|| wrong(3))?,
+        part: number(4, MOST_PART)?.unwrap_or_default(),
+        group: number(5, MOST_GROUP)?,
+        size_kb: values[6].map(|value| size(value).ok_or_else(|| wrong(6))).transpose()?,
+        held: hex(7)?,
+        body,
+    })
 }
 
 impl Decoder {
@@ -122,19 +128,34 @@
         self.incoming.feed(bytes);
     }
 
+    /// Whether part of a message has come and the rest has not.
+    pub fn is_midway(&self) -> bool {
+        self.missing > 0 || !self.incoming.is_empty()
+    }
+
+    /// Lets go of room that is not needed until more comes.
+    pub fn settle(&mut self) {
+        self.incoming.settle();
+    }
+
+    /// Bytes that wait for the rest of their message.
+    pub fn waiting(&self) -> usize {
+        self.incoming.len() + self.items.iter().map(Vec::len).sum::<usize>()
+    }
+
     /// The next whole message; an error means that no more can be read here.
     pub fn next_message(&mut self) -> Result<Option<Message>, Unreadable> {
         while self.missing > 0 || self.items.is_empty() {
             if self.missing == 0 {
                 let Some(line) = self.incoming.line(LONGEST_LINE)? else { return Ok(None) };
-                self.missing = count(&line, '*', MOST_ITEMS)?;
+                self.missing = count(&line, '*', ITEMS.len())?;
                 if self.missing == 0 {
                     return Err(Unreadable("an empty array".into()));
                 }
             }
             if self.length.is_none() {
                 let Some(line) = self.incoming.line(LONGEST_LINE)? else { return Ok(None) };
-                self.length = Some(count(&line, '$', LONGEST_ITEM)?);
+                self.length = Some(count(&line, '$', ITEMS[self.items.len()])?);
             }
             let Some(item) = self.incoming.block(self.length.unwrap_or_default())? else { return Ok(None) };
             self.items.push(item);
@@ -148,9 +169,10 @@
         let mut items = items.into_iter();
         let verb = items.next().unwrap_or_default();
         let tag = items.next().unwrap_or_default();
-        let tag = std::str::from_utf8(&tag).ok().and_then(|tag| tag.parse().ok()).filter(|tag| *tag > 0);
+        let tag = std::str::from_utf8(&tag).ok().and_then(|tag| digits(tag, MOST_TAG)).filter(|tag| *tag > 0);
         let tag = tag.ok_or_else(|| Unreadable("a message without a tag".into()))?;
         match verb.as_slice() {
+            b"REQ" if items.len() < 2 => Ok(Message::Unusable(tag, "a request without its fields".into())),
             b"REQ" => {
                 let mut next = || items.next().unwrap_or_default();
                 let (content_type, list, body) = (next(), next(), next());
--- a/protocol/src/incoming.rs
+++ b/protocol/src/incoming.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+/// Room that a connection keeps though nothing waits.
+const SPARE: usize = 1024;
+
 /// Why a connection's bytes can't be read on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Unreadable(pub String);
@@ -53,6 +56,16 @@
         line.map(Some)
     }
 
+    /// Lets go of what was taken, and of room that was needed for a moment only.
+    pub fn settle(&mut self) {
+        self.bytes.drain(..self.taken);
+        self.searched = self.searched.saturating_sub(self.taken);
+        self.taken = 0;
+        if self.bytes.capacity() > 2 * self.bytes.len() + SPARE {
+            self.bytes.shrink_to(self.bytes.len());
+        }
+    }
+
     /// Takes `length` bytes and the line end behind them, once all are there.
     pub fn block(&mut self, length: usize) -> Result<Option<Vec<u8>>, Unreadable> {
         let end = self.taken + length;
@@ -78,6 +91,12 @@
     }
 }
 
+/// A number in plain decimal digits, of at most this.
+pub fn digits(text: &str, most: u64) -> Option<u64> {
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit()) && (text == "0" || !text.starts_with('0'));
+    text.parse().ok().filter(|number| plain && *number <= most)
+}
+
 /// The fields of a `name=value,name=value` list.
 pub fn fields(list: &str) -> impl Iterator<Item = (&str, &str)> {
     list.split(',').filter_map(|pair| pair.split_once('='))
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod changes;
 pub mod clients;
+pub mod hex;
 pub mod incoming;
 pub mod nodes;
--- a/protocol/src/nodes.rs
+++ b/protocol/src/nodes.rs
@@ -1,21 +1,23 @@
 //! Nodes: lines of words; where the last word is a length, so many bytes follow.
 
-use crate::incoming::{Incoming, Unreadable, fields};
+use crate::hex::Hex;
+use crate::incoming::{Incoming, Unreadable, digits, fields};
 use copperroute::interface::{Nanos, Outcome, Pull, Remark, Report};
 use std::fmt::Write as _;
 
-const LONGEST_LINE: usize = 4096;
-const LONGEST_BODY: usize = 4 * 1024 * 1024;
+const LONGEST_LINE: usize = 1024;
+/// What an object holds at most.
+const LONGEST_BODY: u64 = 240_000;
 
 /// A pull as it goes to a node.
 #[derive(Debug, Clone)]
 pub struct Fetch<'a> {
     /// The download's own id.
-    pub id: &'a str,
+    pub id: Hex,
     /// The name of its content type.
     pub content_type: &'a str,
     /// The object.
-    pub object: &'a str,
+    pub object: Hex,
     /// The part of it.
     pub part: u64,
     /// How long it is waited for.
@@ -25,7 +27,7 @@
     /// The pull as it was ordered; its age limit is that of the moment of writing.
     pub order: Pull,
     /// The tag of the client's copy.
-    pub held: Option<&'a str>,
+    pub held: Option<Hex>,
     /// What a write brings.
     pub body: &'a [u8],
 }
@@ -33,12 +35,14 @@
 /// A node's answer to a pull.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
-    /// The id of the download.
-    pub id: String,
+    /// The id of the download; nothing if it has not the form of one.
+    pub id: Option<Hex>,
     /// How the pull ended.
     pub outcome: Outcome,
     /// The client's copy is the one.
     pub current: bool,
+    /// Tag and time of the copy are told.
+    pub of_copy: bool,
     /// How it came about.
     pub remark: Remark,
     /// The time waited for the source.
@@ -85,7 +89,7 @@
 }
 
 /// Writes that a pull is given up to the end of `bytes`.
-pub fn encode_abort(id: &str, bytes: &mut Vec<u8>) {
+pub fn encode_abort(id: Hex, bytes: &mut Vec<u8>) {
     bytes.extend_from_slice(format!("abort {id}\r\n").as_bytes());
 }
 
@@ -122,11 +126,11 @@
 
 /// The head of an answer and the length of its bytes.
 fn head(line: &str) -> Result<(Answer, usize), Unreadable> {
-    let unreadable = || Unreadable(format!("expected an answer, found '{line}'"));
+    let shown: String = line.chars().take(80).collect();
+    let unreadable = || Unreadable(format!("expected an answer, found '{}'", shown.escape_debug()));
     let words: Vec<_> = line.split(' ').collect();
     let [id, word, list, length] = words[..] else { return Err(unreadable()) };
-    let length: usize =
-        length.parse().ok().filter(|length| *length <= LONGEST_BODY).ok_or_else(unreadable)?;
+    let length = digits(length, LONGEST_BODY).ok_or_else(unreadable)? as usize;
     let outcome = match word {
         "ok" | "current" => Outcome::Fulfilled,
         "nothing" => Outcome::NotHeld,
@@ -136,16 +140,20 @@
         _ => return Err(unreadable()),
     };
     let mut answer = Answer {
-        id: id.to_string(),
+        id: Hex::read(id),
         outcome,
         current: word == "current",
+        of_copy: false,
         remark: Remark::None,
         waited: None,
         report: Report::default(),
         body: Vec::new(),
     };
+    let (mut tagged, mut made) = (false, false);
     for (name, value) in fields(list) {
         match name {
+            "etag" => tagged = Hex::read(value).is_some(),
+            "made" => made = digits(value, u64::MAX).is_some(),
             "why" => answer.remark = remark(value),
             "ttfb" => {
                 let waited = value.parse::<f64>().ok().filter(|ms| ms.is_finite() && *ms > 0.0);
@@ -155,6 +163,7 @@
             _ => {}
         }
     }
+    answer.of_copy = tagged && made;
     Ok((answer, length))
 }
 
@@ -164,6 +173,11 @@
         self.incoming.feed(bytes);
     }
 
+    /// Lets go of room that is not needed until more comes.
+    pub fn settle(&mut self) {
+        self.incoming.settle();
+    }
+
     /// Whether part of an answer has come and the rest has not.
     pub fn is_midway(&self) -> bool {
         self.begun.is_some() || !self.incoming.is_empty()
