Take a silent connection for one failure first; forget nodes that have gone

Now what hangs there is called off and goes elsewhere, over another connection the same node is tried, and what meets the same again has it set aside. Harm: a node that really is silent takes pulls for one overdue time more.

Nodes that left the list are forgotten, with their slot, once all that could have met them has expired; a new start of the same id forgets what was learned of the old.

--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -327,6 +327,16 @@
         self.nodes.list(id, pool, self.now, &mut self.effects)
     }
 
+    /// How many nodes there is a place for.
+    pub fn nodes_kept(&self) -> u32 {
+        self.nodes.kept()
+    }
+
+    /// Lets go of the nodes that left the list before `span`, and tells which.
+    pub fn forget_nodes(&mut self, span: Nanos) -> Vec<NodeId> {
+        self.nodes.forget(self.now, span)
+    }
+
     /// The nodes that a whole list does not name.
     pub fn unlisted(&self, named: &[NodeId]) -> Vec<NodeId> {
         self.nodes.unlisted(named)
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -101,9 +101,11 @@
     pub readiness: Readiness,
     /// Its connections.
     pub connections: Vec<u32>,
+    /// When it was last listed; once it has gone, since when.
+    pub listed: Nanos,
 }
 
-/// All nodes ever listed, and the connections to them.
+/// The nodes listed, those that left not long ago, and the connections to them.
 #[derive(Debug)]
 pub struct Nodes {
     limits: Connections,
@@ -161,10 +163,29 @@
         all.filter(|node| listed(node) && !named.contains(node)).collect()
     }
 
+    /// How many nodes there is a place for.
+    pub fn kept(&self) -> u32 {
+        self.ids.count()
+    }
+
+    /// Lets go of the nodes that left the list before `span`, and tells which: all that met them has ended.
+    pub fn forget(&mut self, now: Nanos, span: Nanos) -> Vec<NodeId> {
+        let old = |p: &Pool| {
+            p.readiness == Readiness::Gone && p.connections.is_empty() && now.since(p.listed) > span
+        };
+        let forgotten: Vec<_> =
+            (0..self.ids.count()).filter(|at| self.pools.get(*at).is_some_and(old)).collect();
+        for at in &forgotten {
+            self.pools.clear(*at);
+            self.ids.release(*at);
+        }
+        forgotten.into_iter().map(NodeId).collect()
+    }
+
     /// A node takes no new work: its connections take no further pulls.
     pub fn withdraw(&mut self, node: NodeId, readiness: Readiness, now: Nanos, effects: &mut Vec<Effect>) {
         if let Some(pool) = self.pools.get_mut(node.0) {
-            pool.readiness = readiness;
+            (pool.readiness, pool.listed) = (readiness, now);
         }
         self.retire(node, now, effects);
     }
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -138,6 +138,11 @@
         self.log.applied()
     }
 
+    /// How many nodes there is a place for: those listed, and those that left not long ago.
+    pub fn nodes_kept(&self) -> u32 {
+        self.desk.nodes_kept()
+    }
+
     /// Changes the state as the event asks, and returns what is to be done.
     pub fn reduce(&mut self, now: Nanos, event: Event<'_>) -> Vec<Effect> {
         self.desk.now = now;
@@ -174,9 +179,7 @@
             Event::Due(due) => self.due(now, due),
             Event::Terminate => {
                 if self.life.move_to(Phase::Draining) {
-                    let longest =
-                        self.config.offers.iter().map(|offer| offer.expiry).max().unwrap_or_default();
-                    let drained = longest.min(LONGEST_DRAIN).after(DRAINED_AFTER);
+                    let drained = self.longest_expiry().min(LONGEST_DRAIN).after(DRAINED_AFTER);
                     let armed = [(LAST_REQUESTS, Due::LastRequests), (drained, Due::Drained)];
                     self.desk.effects.extend(armed.map(|(span, due)| Effect::Arm(now.after(span), due)));
                 }
@@ -220,6 +223,10 @@
             Due::ChangeLog => self.log.connect(now, &mut self.desk.effects),
             Due::Sweep => {
                 self.desk.sweep();
+                // No download in hand is older than the longest expiry.
+                for node in self.desk.forget_nodes(self.longest_expiry().after(SWEEP)) {
+                    self.module.node_forgotten(node);
+                }
                 // Nobody waits that long for an answer: such a client has vanished.
                 for number in self.desk.clients.stuck(now, self.client_patience()) {
                     self.complaints.warn(now, format_args!("client: takes nothing, closed"));
@@ -241,6 +248,11 @@
         }
     }
 
+    /// The longest that any client waits.
+    fn longest_expiry(&self) -> Nanos {
+        self.config.offers.iter().map(|offer| offer.expiry).max().unwrap_or_default()
+    }
+
     /// With more clients than this, idle ones are closed.
     fn most_clients(&self) -> usize {
         self.config.limits.sockets as usize / 2
@@ -432,7 +444,8 @@
         let readiness = listed.state.into();
         let started_ms = listed.started_ms.filter(|ms| *ms > 0);
         let started = started_ms.map_or(Nanos::ZERO, |ms| self.epoch.time(ms));
-        let pool = Pool { address: listed.addr, started, readiness, connections: Vec::new() };
+        let pool =
+            Pool { address: listed.addr, started, readiness, connections: Vec::new(), listed: self.desk.now };
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
             hash: stable_hash(listed.id.as_bytes()),
--- a/dispatcher/tests/dispatcher/common.rs
+++ b/dispatcher/tests/dispatcher/common.rs
@@ -132,6 +132,11 @@
         self.event(Event::Reload(&Config::parse(config).expect("a good configuration")));
     }
 
+    /// How many nodes there is a place for.
+    pub fn nodes_kept(&self) -> u32 {
+        self.reducer.nodes_kept()
+    }
+
     /// Lets time pass, with all that falls due.
     pub fn pass(&mut self, millis: u64) {
         let end = self.now.after(Nanos(millis * 1_000_000));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -650,8 +650,9 @@
         out.note(&format!("node {} set aside for {:.1} s", id.0, aside.secs()));
     }
 
-    /// A pull is overdue. If its node, or its source, answered nothing since it was sent, that is silent: it
-    /// is set aside, and what is out there is called off to go elsewhere.
+    /// A pull is overdue. If its node, or its source, answered nothing since it was sent, that is silent: what
+    /// is out there is called off to go elsewhere. A connection may be stuck at a node that is well, so the
+    /// first time is one failure; what is sent later and meets the same has the node set aside.
     pub fn timer(&mut self, now: Nanos, token: u64, out: &mut impl Outbox) {
         if token == u64::MAX {
             return out.follow();
@@ -665,11 +666,14 @@
         let reach = if sent.is_look() { 1 } else { 3 };
         let Some(silent) = up.take(reach).find(|id| !heard(*id)) else { return };
         if silent == sent.node {
-            self.set_aside(now, silent, true, out);
+            if self.nodes.get(silent).is_some_and(|n| n.broke <= sent.at) && self.nodes.saw_break(now, silent)
+            {
+                self.mark(now, silent, false, true, out);
+            }
         } else if self.nodes.get(silent).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
             self.mark(now, silent, false, false, out);
         }
-        let aside = self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
+        let aside = silent == sent.node || self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
         let retriable = |dl: &&Dl| self.row(&dl.d).told.repeat == Repeat::Retriable;
         let stuck = self.dls.iter().filter(|dl| aside && dl.stage == Stage::Pulling).filter(retriable);
         for id in stuck.map(|dl| dl.d.dl).collect::<Vec<_>>() {
@@ -695,6 +699,11 @@
         self.link.part = self.link.part.max(part);
     }
 
+    /// A node that left the list so long ago that no download in hand has met it: its slot may be given anew.
+    pub fn node_forgotten(&mut self, id: NodeId) {
+        self.nodes.forget(id);
+    }
+
     /// A call to discovery failed: the old list stands, and the subscription is asked for again.
     pub fn list_failed(&mut self, _now: Nanos, out: &mut impl Outbox) {
         out.arm(ASK_AGAIN, u64::MAX);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct DlId(pub u32);
 
-/// A cache, parent or origin; the same for the dispatcher's whole life.
+/// A cache, parent or origin: a slot that the adapter may use again once it has told that the node is forgotten.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub u32);
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -325,12 +325,13 @@
         self.first_byte = (old + part * (secs - old), now);
     }
 
-    /// Takes a newer line of the list; a new start makes a new node of it.
+    /// Takes a newer line of the list; a new start makes a new node of it, with nothing known but what is out.
     pub fn relist(&mut self, e: &NodeEntry) {
         if e.started > self.e.started {
-            self.aside_until = Nanos::ZERO;
-            self.on_trial = false;
-            self.started = e.started;
+            (self.aside_until, self.on_trial, self.in_row) = (Nanos::ZERO, false, 0);
+            (self.started, self.first_byte) = (e.started, (0.0, Nanos::ZERO));
+            self.ended.clear();
+            self.pace.clear();
         }
         self.listed = e.readiness == Readiness::Ready;
         self.e = *e;
@@ -366,6 +367,11 @@
         self.slots.get_mut(id.0)
     }
 
+    /// Lets go of a node that has left the list.
+    pub fn forget(&mut self, id: NodeId) {
+        self.slots.clear(id.0);
+    }
+
     /// Takes every node off the list.
     pub fn unlist_all(&mut self) {
         self.slots.iter_mut().for_each(|n| n.listed = false);
