--- a/src/decide.rs
+++ b/src/decide.rs
@@ -650,9 +650,8 @@
         out.note(&format!("node {} set aside for {:.1} s", id.0, aside.secs()));
     }
 
-    /// A pull is overdue. If its node, or its source, answered nothing since it was sent, that is silent: what
-    /// is out there is called off to go elsewhere. A connection may be stuck at a node that is well, so the
-    /// first time is one failure; what is sent later and meets the same has the node set aside.
+    /// A pull is overdue. If its node, or its source, answered nothing since it was sent, that is silent: it
+    /// is set aside, and what is out there is called off to go elsewhere.
     pub fn timer(&mut self, now: Nanos, token: u64, out: &mut impl Outbox) {
         if token == u64::MAX {
             return out.follow();
@@ -666,14 +665,11 @@
         let reach = if sent.is_look() { 1 } else { 3 };
         let Some(silent) = up.take(reach).find(|id| !heard(*id)) else { return };
         if silent == sent.node {
-            if self.nodes.get(silent).is_some_and(|n| n.broke <= sent.at) && self.nodes.saw_break(now, silent)
-            {
-                self.mark(now, silent, false, true, out);
-            }
+            self.set_aside(now, silent, true, out);
         } else if self.nodes.get(silent).is_some_and(|n| n.ended.sums(now)[0] == 0.0) {
             self.mark(now, silent, false, false, out);
         }
-        let aside = silent == sent.node || self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
+        let aside = self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
         let retriable = |dl: &&Dl| self.row(&dl.d).told.repeat == Repeat::Retriable;
         let stuck = self.dls.iter().filter(|dl| aside && dl.stage == Stage::Pulling).filter(retriable);
         for id in stuck.map(|dl| dl.d.dl).collect::<Vec<_>>() {
