--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -3,6 +3,7 @@
 //! module; nothing here decides where a download goes.
 
 use crate::clients::Clients;
+use crate::config::Limits;
 use crate::nodes::{Next, Nodes, Pool, PullRef};
 use crate::reducer::{Due, Effect};
 use copperroute::ids::Ids;
@@ -19,6 +20,8 @@
 /// Of the memory, what may wait for clients. With more than half of that, those that are held back for reading
 /// slowly get no further bytes; with more than all of it, nodes are not read from until half of it has left.
 const UNSENT_PART: u64 = 4;
+/// Of the descriptors, what connections to nodes may take before they are shared.
+const NODES_PART: usize = 4;
 
 /// A pull of a download in hand.
 #[derive(Debug)]
@@ -70,27 +73,27 @@
 
 impl Desk {
     /// An empty desk.
-    pub fn new(limits: Connections, memory_mb: u64) -> Self {
+    pub fn new(connections: Connections, limits: Limits) -> Self {
         Desk {
             now: Nanos::ZERO,
             clients: Clients::default(),
-            nodes: Nodes::new(limits),
+            nodes: Nodes::new(connections, limits.sockets as usize / NODES_PART),
             dls: Ids::default(),
             held: Slots::default(),
             serial: 0,
             owed: 0,
             objects: Ids::default(),
             asked: HashSet::new(),
-            most_unsent: memory_mb * 1024 * 1024 / UNSENT_PART,
+            most_unsent: limits.memory_mb * 1024 * 1024 / UNSENT_PART,
             ended: VecDeque::new(),
             effects: Vec::new(),
         }
     }
 
     /// Takes new limits.
-    pub fn limit(&mut self, limits: Connections, memory_mb: u64) {
-        self.most_unsent = memory_mb * 1024 * 1024 / UNSENT_PART;
-        self.nodes.limit(limits);
+    pub fn limit(&mut self, connections: Connections, limits: Limits) {
+        self.most_unsent = limits.memory_mb * 1024 * 1024 / UNSENT_PART;
+        self.nodes.limit(connections, limits.sockets as usize / NODES_PART);
     }
 
     /// Looks after connections; to be called now and then.
@@ -188,6 +191,12 @@
         owed.filter_map(|held| self.dls.held(&held.serial).map(|slot| (DlId(slot), held.serial))).collect()
     }
 
+    /// Pulls and fills that are out at a node.
+    pub fn out_at(&self, node: NodeId) -> u32 {
+        let out = self.held.iter().flat_map(|held| &held.pulls).filter(|pull| pull.out);
+        out.filter(|out| out.pull.node == node || out.pull.source == node).count() as u32
+    }
+
     /// Whether no answer is owed, and all that were given have left.
     pub fn is_clear(&self) -> bool {
         self.owed == 0 && self.clients.unsent() == 0
--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::logs;
+use crate::logs::{self, Sparse};
 use crate::reducer::{Due, Effect, Event, Peer, Reducer};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -60,6 +60,7 @@
     /// Connections with something new to write.
     dirty: Vec<Peer>,
     last_client: u32,
+    complaints: Sparse,
     stopped: bool,
 }
 
@@ -115,6 +116,7 @@
         connections: HashMap::new(),
         dirty: Vec::new(),
         last_client: 0,
+        complaints: Sparse::default(),
         stopped: false,
     };
     let mut scratch = vec![0; READ_AT_ONCE];
@@ -208,7 +210,7 @@
                 Err(fault)
                     if matches!(fault.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
                 Err(fault) => {
-                    log::warn!("accept: {fault}");
+                    self.complaints.warn(self.clock.now(), format_args!("accept: {fault}"));
                     self.reduce(Event::NoDescriptors);
                     return false;
                 }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -109,6 +109,8 @@
 #[derive(Debug)]
 pub struct Nodes {
     limits: Connections,
+    /// With more connections than this in all, nodes get no second one.
+    most: usize,
     ids: Ids<String>,
     pools: Slots<Pool>,
     connections: HashMap<u32, Connection>,
@@ -120,15 +122,15 @@
 
 impl Nodes {
     /// No nodes yet.
-    pub fn new(limits: Connections) -> Self {
+    pub fn new(limits: Connections, most: usize) -> Self {
         let (ids, pools, connections) = (Ids::default(), Slots::default(), HashMap::new());
         let complaints = Sparse::default();
-        Nodes { limits, ids, pools, connections, last: 0, held_back: false, complaints }
+        Nodes { limits, most, ids, pools, connections, last: 0, held_back: false, complaints }
     }
 
     /// Takes new limits.
-    pub fn limit(&mut self, limits: Connections) {
-        self.limits = limits;
+    pub fn limit(&mut self, limits: Connections, most: usize) {
+        (self.limits, self.most) = (limits, most);
     }
 
     // The list.
@@ -222,9 +224,12 @@
         };
         let load = |number: &&u32| self.connections.get(number).map_or(0, Connection::load);
         let best = pool.connections.iter().filter(usable).filter(fits).min_by_key(load).copied();
-        let number = match best {
+        // What is on one connection ends with it: so one that carries nothing, else a further one.
+        let used = pool.connections.iter().filter(usable).count();
+        let room = used == 0 || (used < CONNECTIONS && self.connections.len() < self.most);
+        let number = match best.filter(|number| !room || load(&number) == 0) {
             Some(number) => number,
-            None if pool.connections.iter().filter(usable).count() >= CONNECTIONS => return None,
+            None if !room => return None,
             None => {
                 self.last += 1;
                 pool.connections.push(self.last);
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -11,7 +11,9 @@
 use crate::phases::{Life, Phase};
 use copperroute::chance::Chance;
 use copperroute::decide::Dispatcher;
-use copperroute::interface::{DlId, Download, Nanos, NodeEntry, Readiness, TypeId, ZoneId, mix, stable_hash};
+use copperroute::interface::{
+    DlId, Download, Nanos, NodeEntry, NodeId, Readiness, TypeId, ZoneId, mix, stable_hash,
+};
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
 use copperroute_settings::place;
@@ -123,7 +125,7 @@
         Reducer {
             life: Life::default(),
             module: Dispatcher::new(config.settings.clone()),
-            desk: Desk::new(config.connections, config.limits.memory_mb),
+            desk: Desk::new(config.connections, config.limits),
             log: ChangeLog::new(config.changelog, config.known.seq, chance),
             epoch,
             last_requests: false,
@@ -143,6 +145,12 @@
         self.desk.nodes_kept()
     }
 
+    /// What is out at each node: as the decisions believe, and as it is.
+    pub fn out(&self) -> Vec<(u32, u32)> {
+        let nodes = (0..self.nodes_kept()).map(NodeId);
+        nodes.map(|node| (self.module.out_at(node), self.desk.out_at(node))).collect()
+    }
+
     /// Changes the state as the event asks, and returns what is to be done.
     pub fn reduce(&mut self, now: Nanos, event: Event<'_>) -> Vec<Effect> {
         self.desk.now = now;
@@ -279,7 +287,7 @@
             log::warn!("configuration: {what} can't change before a restart");
         }
         (old.limits, old.connections, old.changelog) = (new.limits, new.connections, new.changelog);
-        self.desk.limit(new.connections, new.limits.memory_mb);
+        self.desk.limit(new.connections, new.limits);
         self.log.move_to(new.changelog, now, &mut self.desk.effects);
         log::info!("configuration: read again");
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -695,6 +695,11 @@
         self.link.part = self.link.part.max(part);
     }
 
+    /// Pulls and fills believed to be out at a node.
+    pub fn out_at(&self, id: NodeId) -> u32 {
+        self.nodes.get(id).map_or(0, |n| n.out)
+    }
+
     /// A node that left the list so long ago that no download in hand has met it: its slot may be given anew.
     pub fn node_forgotten(&mut self, id: NodeId) {
         self.nodes.forget(id);
