Set a busy node aside for failures in a row only as a tenth of what worked lately

At fault: decide.rs mark(), ROW of 2 whatever the traffic. Ruled out: origin's share (1), link limit (room left). Now a row must be a tenth of what worked lately, but for a node that no connection can be made to. Harm: a busy node that fails fast takes some failures more.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,7 +23,8 @@
 const JUDGED_OVER: Nanos = Nanos(2_000_000_000);
 const FAILURES: f64 = 3.0; // fewer say nothing of a node
 const FAILED_SHARE: f64 = 0.5;
-const ROW: u32 = 2; // failures with none between that worked, however far apart
+const ROW: u32 = 2; // failures with none between that worked, however far apart, and
+const ROW_SHARE: f64 = 0.1; // of what worked lately, unless nothing is there to connect to
 const DEAD_ROW: u32 = 8; // the same for an origin
 const ASIDE: Nanos = Nanos(3_000_000_000);
 const ASIDE_SPREAD_S: f64 = 2.0;
@@ -626,9 +627,11 @@
     fn mark(&mut self, now: Nanos, id: NodeId, worked: bool, died: bool, out: &mut impl Outbox) {
         let Some(n) = self.nodes.get_mut(id) else { return };
         let [ok, failed] = n.saw_end(now, worked);
+        // A busy node meets two resets or spoilt answers in a row by chance.
+        let row = if died { ROW } else { ROW.max((ROW_SHARE * ok) as u32) };
         if worked {
             (n.on_trial, n.heard) = (false, now);
-        } else if n.on_trial || n.in_row >= ROW || failed >= FAILURES.max(FAILED_SHARE * (ok + failed)) {
+        } else if n.on_trial || n.in_row >= row || failed >= FAILURES.max(FAILED_SHARE * (ok + failed)) {
             // An origin that still answers some stays: without it there would be no service at all.
             if died || n.in_row >= DEAD_ROW || !self.nodes.is_origin(id) {
                 self.set_aside(now, id, died, out);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -105,6 +105,30 @@
     .assert_eq(&trace.0);
 }
 
+#[test]
+fn two_resets_in_a_row_are_chance_at_a_busy_cache_and_no_connection_is_not() {
+    for (outcome, aside) in [(Outcome::Broken, false), (Outcome::Unreachable, true)] {
+        let (mut module, mut trace) = start(settings());
+        for dl in 0..40 {
+            let at = ms(1_000 + 20 * u64::from(dl));
+            ask(&mut module, at, dl, 0, 9, &mut trace);
+            module.pull_ended(
+                at.after(ms(10)),
+                DlId(dl),
+                0,
+                &end(Outcome::Fulfilled, Remark::Hit),
+                &mut trace,
+            );
+        }
+        for dl in 40..42 {
+            let at = ms(1_000 + 20 * u64::from(dl));
+            ask(&mut module, at, dl, 0, 9, &mut trace);
+            module.pull_ended(at.after(ms(1)), DlId(dl), 0, &end(outcome, Remark::None), &mut trace);
+        }
+        assert_eq!(trace.0.contains("set aside"), aside, "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_silent_origin_leaves_the_parents_copies_in_use() {
     // Nine fills hang while the caches answer and both parents serve what they hold.
