--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -45,6 +45,8 @@
     expires: Nanos,
     /// It is answered with a copy, which has a tag.
     of_copies: bool,
+    /// It may not simply run again.
+    once: bool,
     /// Its answer is still owed.
     owed: bool,
     pulls: Vec<HeldPull>,
@@ -111,6 +113,7 @@
         tag: u64,
         request: Request,
         of_copies: bool,
+        once: bool,
     ) -> (DlId, ObjectId, Nanos) {
         self.serial += 1;
         let dl = DlId(self.dls.open(self.serial));
@@ -122,7 +125,7 @@
             client.open.insert(tag, dl);
         }
         let (serial, owed, pulls) = (self.serial, true, Vec::new());
-        self.held.put(dl.0, Held { serial, client, tag, request, expires, of_copies, owed, pulls });
+        self.held.put(dl.0, Held { serial, client, tag, request, expires, of_copies, once, owed, pulls });
         self.owed += 1;
         (dl, object, expires)
     }
@@ -384,7 +387,7 @@
         let place = PullRef { dl, number: held.pulls.len() as u32 };
         let source = (pull.source != pull.node).then(|| self.nodes.id(pull.source).to_string());
         let id = held.request.id;
-        let connection = self.nodes.take(pull.node, place, id, self.now, &mut self.effects);
+        let connection = self.nodes.take(pull.node, place, id, held.once, self.now, &mut self.effects);
         let (at, number) = (self.now, connection.unwrap_or_default());
         held.pulls.push(HeldPull { pull: *pull, source, at, out: true, connection: number });
         match connection {
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -18,6 +18,12 @@
 /// An answer of which nothing more comes for so long holds up all that is out behind it.
 const STUCK: Nanos = Nanos(400_000_000);
 
+/// A connection that carried nothing for so long may be closed by its node just as the next pull is written,
+/// which may then have run.
+const RESTED: Nanos = Nanos(20_000_000);
+/// After that has happened, connections that rested are not used for so long.
+const DOUBT: Nanos = Nanos(10_000_000_000);
+
 /// One pull of a download.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PullRef {
@@ -61,6 +67,8 @@
     /// When the node last finished an answer on it; before that, when it came up. Half an answer and then
     /// silence would hold up all that is asked for behind it.
     answered: Nanos,
+    /// It had rested when it was last written to, and nothing has come since.
+    after_rest: bool,
     /// When it last carried anything, and when bytes last came.
     used: Nanos,
     heard: Nanos,
@@ -79,6 +87,7 @@
             queued: 0,
             written: 0,
             answered: Nanos::ZERO,
+            after_rest: false,
             used: now,
             heard: now,
         }
@@ -88,6 +97,11 @@
     fn load(&self) -> usize {
         self.waiting.len() + self.live
     }
+
+    /// It carries nothing, and has not for a while.
+    fn has_rested(&self, now: Nanos) -> bool {
+        self.up && self.load() == 0 && now.since(self.used) > RESTED
+    }
 }
 
 /// A node's place in the list, and its connections.
@@ -117,6 +131,8 @@
     last: u32,
     /// Nothing is read from them for now.
     held_back: bool,
+    /// Connections that rested are not to be trusted until then.
+    doubt: Nanos,
     complaints: Sparse,
 }
 
@@ -124,8 +140,8 @@
     /// No nodes yet.
     pub fn new(limits: Connections, most: usize) -> Self {
         let (ids, pools, connections) = (Ids::default(), Slots::default(), HashMap::new());
-        let complaints = Sparse::default();
-        Nodes { limits, most, ids, pools, connections, last: 0, held_back: false, complaints }
+        let (complaints, doubt) = (Sparse::default(), Nanos::ZERO);
+        Nodes { limits, most, ids, pools, connections, last: 0, held_back: false, doubt, complaints }
     }
 
     /// Takes new limits.
@@ -206,15 +222,24 @@
     }
 
     /// Puts a pull of a download on a connection to a node, made if need be; nothing if there is none to be
-    /// had.
+    /// had. Where it may run `once` only, none that rested is used; nor are those while nodes close them under
+    /// the next pull. Costs a connect.
     pub fn take(
         &mut self,
         node: NodeId,
         pull: PullRef,
         id: Hex,
+        once: bool,
         now: Nanos,
         effects: &mut Vec<Effect>,
     ) -> Option<u32> {
+        if once || now < self.doubt {
+            let rested = |number: &u32| self.connections.get(number).is_some_and(|c| c.has_rested(now));
+            let rested: Vec<_> = self.pools.get(node.0)?.connections.iter().copied().filter(rested).collect();
+            for number in rested {
+                self.close(number, effects);
+            }
+        }
         let pool = self.pools.get_mut(node.0)?;
         let address = pool.address?;
         let usable = |number: &&u32| self.connections.get(number).is_some_and(|c| !c.retired);
@@ -257,6 +282,7 @@
         if !connection.up || connection.queued > connection.written {
             return;
         }
+        let rested = connection.live == 0 && now.since(connection.used) > RESTED;
         let mut bytes = Vec::new();
         while bytes.len() < GATHERED {
             let Some(pull) = connection.waiting.pop_front() else { break };
@@ -269,7 +295,7 @@
         }
         if !bytes.is_empty() {
             connection.queued += bytes.len() as u64;
-            connection.used = now;
+            (connection.used, connection.after_rest) = (now, rested);
             effects.push(Effect::Write(Peer::Node(number), bytes));
         }
     }
@@ -332,7 +358,7 @@
     /// A node has sent bytes.
     pub fn received(&mut self, number: u32, bytes: &[u8], now: Nanos) {
         if let Some(connection) = self.connections.get_mut(&number) {
-            (connection.used, connection.heard) = (now, now);
+            (connection.used, connection.heard, connection.after_rest) = (now, now, false);
             connection.decoder.feed(bytes);
         }
     }
@@ -364,6 +390,9 @@
     /// whose last byte had not left never ran, and a connection that had come up says nothing of the node.
     pub fn close(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<(PullRef, Outcome)> {
         let Some(connection) = self.connections.remove(&number) else { return Vec::new() };
+        if connection.after_rest && connection.live > 0 {
+            self.doubt = connection.used.after(DOUBT);
+        }
         effects.push(Effect::Close(Peer::Node(number)));
         if let Some(pool) = self.pools.get_mut(connection.node.0) {
             pool.connections.retain(|other| *other != number);
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -12,7 +12,7 @@
 use copperroute::chance::Chance;
 use copperroute::decide::Dispatcher;
 use copperroute::interface::{
-    DlId, Download, Nanos, NodeEntry, NodeId, Readiness, TypeId, ZoneId, mix, stable_hash,
+    DlId, Download, Nanos, NodeEntry, NodeId, Readiness, Repeat, TypeId, ZoneId, mix, stable_hash,
 };
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
@@ -376,10 +376,11 @@
             }
         };
         let of_copies = !self.config.offers[content_type as usize].writes;
+        let once = self.config.settings.content_types[content_type as usize].repeat != Repeat::Retriable;
         let object_hash = stable_hash(request.object.as_str().as_bytes());
         let (part, group) = (request.part, request.group);
         let (repeat, size_kb) = (request.repeat, request.size_kb);
-        let (dl, object, expires) = self.desk.open(client, tag, request, of_copies);
+        let (dl, object, expires) = self.desk.open(client, tag, request, of_copies, once);
         let download = Download {
             dl,
             content_type: TypeId(content_type),
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -705,6 +705,57 @@
     }
 }
 
+#[test]
+fn what_may_run_once_uses_no_connection_that_rested() {
+    let mut play = Play::new();
+    for (tag, kind) in [(7, "post"), (8, "post"), (9, "image"), (10, "image")] {
+        let id = format!("9b{tag:02}");
+        play.client(&request(tag, kind, &id, ",need=100"));
+        play.node(&format!("{id} ok why=local 4"));
+        play.pass(100);
+    }
+    // A node ends a connection that rested just as a pull comes: none that rested is used for a while.
+    play.client(&request(11, "image", "9b11", ",need=100"));
+    let last = last_connection(&play.trace);
+    play.event(Event::Closed(Peer::Node(last)));
+    play.node("9b11 ok why=local 4");
+    play.pass(100);
+    play.event(Event::Accepted(2));
+    for tag in [12, 13, 14] {
+        if tag == 14 {
+            play.pass(11_000);
+            play.event(Event::Accepted(3));
+        }
+        let bytes = request(tag, "image", &format!("9b{tag}"), ",need=100");
+        play.event(Event::Received(Peer::Client(if tag == 14 { 3 } else { 2 }), &bytes));
+        play.node(&format!("9b{tag} ok why=local 4"));
+        play.pass(100);
+    }
+    let trace = play.take();
+    let nodes = trace.lines().filter(|line| line.contains("Node") && !line.contains("abort"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6005
+        Node(1) <- fetch 9b07 lane=post,name=7f3a,piece=0,ttl=1500 0
+        close Node(1)
+        connect Node(2) 127.0.0.1:6005
+        Node(2) <- fetch 9b08 lane=post,name=7f3a,piece=0,ttl=1500 0
+        connect Node(3) 127.0.0.1:6001
+        Node(3) <- fetch 9b09 lane=image,name=7f3a,piece=0,ttl=1500 0
+        Node(3) <- fetch 9b10 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(3) <- fetch 9b11 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        close Node(3)
+        connect Node(4) 127.0.0.1:6002
+        Node(4) <- fetch 9b11 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        connect Node(5) 127.0.0.1:6001
+        Node(5) <- fetch 9b12 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        close Node(5)
+        connect Node(6) 127.0.0.1:6001
+        Node(6) <- fetch 9b13 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(6) <- fetch 9b14 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+    "#]]
+    .assert_eq(&nodes.map(|line| format!("{line}\n")).collect::<String>());
+}
+
 #[test]
 fn an_answer_that_does_not_go_on_ends_its_connection() {
     let mut play = Play::new();
