--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -424,10 +424,14 @@
     }
 
     /// The connections on which an answer has begun and does not go on: they are of no further use.
-    pub fn stuck(&self, now: Nanos) -> Vec<u32> {
+    pub fn stuck(&mut self, now: Nanos) -> Vec<u32> {
         let stuck = |c: &Connection| !self.held_back && c.decoder.is_midway() && now.since(c.heard) > STUCK;
         let mut stuck: Vec<_> = self.connections.iter().filter(|(_, c)| stuck(c)).map(|(n, _)| *n).collect();
         stuck.sort();
+        for connection in stuck.iter().filter_map(|number| self.connections.get(number)) {
+            let id = self.ids.key(connection.node.0);
+            self.complaints.warn(now, format_args!("node {id}: an answer does not go on"));
+        }
         stuck
     }
 
