Trace each download's life at debug level, under the client's id

Following one request through the dispatchers that met it needs its pulls, their ends and its answer in the logs; nothing told them. With copperroute::trace=debug the desk now writes a line when a download is taken, when a pull is sent and ends, and when it is answered, all under the client's req. Off by default: the ordinary path stays silent.

--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -24,6 +24,8 @@
 const UNSENT_PART: u64 = 4;
 /// Of the descriptors, what connections to nodes may take before they are shared.
 const NODES_PART: usize = 4;
+/// Where a download's life is told, line by line, when `RUST_LOG` asks for it.
+const TRACE: &str = "copperroute::trace";
 
 /// A pull of a download in hand.
 #[derive(Debug)]
@@ -142,6 +144,8 @@
         let expires = self.now.after(Nanos(request.timeout_ms.saturating_mul(1_000_000)));
         self.effects.push(Effect::Arm(expires, Due::Expiry(dl, self.serial)));
         self.asked.insert(request.id);
+        let (id, of, part) = (request.id, &request.content_type, request.part);
+        log::debug!(target: TRACE, "{id} taken: {of} {} part {part} in {} ms", request.object, request.timeout_ms);
         if let Some(client) = self.clients.get_mut(client) {
             client.open.insert(tag, dl);
         }
@@ -214,6 +218,9 @@
 
     /// The final answer of a download, once.
     pub fn answer(&mut self, dl: DlId, answer: Answer<'_>) {
+        if let Some(held) = self.held.get(dl.0).filter(|held| held.owed) {
+            log::debug!(target: TRACE, "{} answered {}", held.request.id, answer.word());
+        }
         if let Some((client, tag)) = self.settle(dl) {
             self.write(client, tag, answer);
         }
@@ -263,6 +270,9 @@
         ended.out = false;
         let took = self.now.since(ended.at);
         let closed = outcome == Outcome::Fulfilled;
+        let why = told.map_or(Remark::None, |told| told.remark);
+        let (id, node) = (held.request.id, self.nodes.id(ended.pull.node));
+        log::debug!(target: TRACE, "{id} pull {} at {node} {outcome:?} {why:?} in {} us", pull.number, took.0 / 1_000);
         let client = held.client;
         if self.keeps_copies && closed {
             self.offered.extend(told.and_then(|told| held.offer(told)));
@@ -431,6 +441,9 @@
         let place = PullRef { dl, number: held.pulls.len() as u32 };
         let source = (pull.source != pull.node).then(|| self.nodes.id(pull.source).to_string());
         let id = held.request.id;
+        let (node, rank) = (self.nodes.id(pull.node), pull.rank);
+        let from = source.as_deref().unwrap_or("-");
+        log::debug!(target: TRACE, "{id} pull {} to {node} from {from} rank {rank}", place.number);
         let connection = self.nodes.take(pull.node, place, id, held.once, self.now, &mut self.effects);
         let (at, number) = (self.now, connection.unwrap_or_default());
         held.pulls.push(HeldPull { pull: *pull, source, at, out: true, connection: number });
--- a/protocol/src/clients.rs
+++ b/protocol/src/clients.rs
@@ -188,17 +188,28 @@
     }
 }
 
+impl Answer<'_> {
+    /// The word that it is written with.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Fulfilled(_) | Answer::Current => "OK",
+            Answer::Throttled(_) => "BUSY",
+            Answer::Abandoned => "FAILED",
+            Answer::Up => "UP",
+            Answer::Down => "DOWN",
+        }
+    }
+}
+
 /// An answer under a tag.
 pub fn encode(tag: u64, answer: Answer<'_>) -> Vec<u8> {
-    let (word, fields, body): (&str, String, &[u8]) = match answer {
-        Answer::Fulfilled(body) => ("OK", String::new(), body),
-        Answer::Current => ("OK", "keep=1".into(), b""),
-        Answer::Throttled(None) => ("BUSY", String::new(), b""),
-        Answer::Throttled(Some(ms)) => ("BUSY", format!("holdoff={ms}"), b""),
-        Answer::Abandoned => ("FAILED", String::new(), b""),
-        Answer::Up => ("UP", String::new(), b""),
-        Answer::Down => ("DOWN", String::new(), b""),
+    let (fields, body): (String, &[u8]) = match answer {
+        Answer::Fulfilled(body) => (String::new(), body),
+        Answer::Current => ("keep=1".into(), b""),
+        Answer::Throttled(Some(ms)) => (format!("holdoff={ms}"), b""),
+        _ => (String::new(), b""),
     };
+    let word = answer.word();
     let tag = tag.to_string();
     let items = [tag.as_bytes(), word.as_bytes(), fields.as_bytes(), body];
     let mut bytes = Vec::with_capacity(body.len() + fields.len() + 64);
