Refuse ids that come again and all a spoilt client connection sends

Bad connections (434 of 1,202) were all bad from their first message, and each came from its own address, so an address says nothing. The reducer took every framed, usable request whatever its connection had sent before (reducer.rs, download and client_received), and knew an id only while it was open (Desk::has).

Now a decision module of its own, src/conduct.rs, keeps each id seen for the longest expiry, 65,536 at most, and says Take, Again or Spoilt; a connection that sent an unusable request or an id again is spoilt, and all it sends later is answered FAILED at once, reaching no node. Complaint lines name the connection; the trace tells when one is spoilt.

Tests: ids again on one connection and another, a flood over the bound, a spoilt connection beside a sound one.

--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -145,7 +145,8 @@
         self.effects.push(Effect::Arm(expires, Due::Expiry(dl, self.serial)));
         self.asked.insert(request.id);
         let (id, of, part) = (request.id, &request.content_type, request.part);
-        log::debug!(target: TRACE, "{id} taken: {of} {} part {part} in {} ms", request.object, request.timeout_ms);
+        let (named, ms) = (request.object, request.timeout_ms);
+        log::debug!(target: TRACE, "{id} taken from client {client}: {of} {named} part {part} in {ms} ms");
         if let Some(client) = self.clients.get_mut(client) {
             client.open.insert(tag, dl);
         }
@@ -272,7 +273,10 @@
         let closed = outcome == Outcome::Fulfilled;
         let why = told.map_or(Remark::None, |told| told.remark);
         let (id, node) = (held.request.id, self.nodes.id(ended.pull.node));
-        log::debug!(target: TRACE, "{id} pull {} at {node} {outcome:?} {why:?} in {} us", pull.number, took.0 / 1_000);
+        let bytes = told.map_or(0, |told| told.body.len());
+        let size = held.request.size_kb.unwrap_or_default();
+        let (number, us) = (pull.number, took.0 / 1_000);
+        log::debug!(target: TRACE, "{id} pull {number} at {node} {outcome:?} {why:?} in {us} us, {bytes} bytes for {size} KB");
         let client = held.client;
         if self.keeps_copies && closed {
             self.offered.extend(told.and_then(|told| held.offer(told)));
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -12,6 +12,7 @@
 use crate::nodes::Pool;
 use crate::phases::{Life, Phase};
 use copperroute::chance::Chance;
+use copperroute::conduct::{Conduct, MOST_IDS, Verdict};
 use copperroute::decide::Dispatcher;
 use copperroute::interface::{
     DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, TypeId, ZoneId, mix,
@@ -64,6 +65,8 @@
     marked: u64,
     /// Lines that clients cause.
     complaints: Sparse,
+    /// What clients have shown of themselves.
+    conduct: Conduct,
     /// What the program was started with, and what has been taken of it since.
     config: Config,
 }
@@ -89,6 +92,7 @@
             last_requests: false,
             drained: false,
             complaints: Sparse::default(),
+            conduct: Conduct::new(longest_expiry(&config), MOST_IDS),
             config,
         }
     }
@@ -115,6 +119,7 @@
         match event {
             Event::Started => self.start(now),
             Event::Accepted(number, from) => {
+                log::debug!(target: "copperroute::trace", "client {number} from {from}");
                 self.desk.clients.accept(number, from, now);
                 if self.desk.clients.count() > self.most_clients() {
                     self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), now, &mut self.desk.effects);
@@ -245,7 +250,7 @@
 
     /// The longest that any client waits.
     fn longest_expiry(&self) -> Nanos {
-        self.config.offers.iter().map(|offer| offer.expiry).max().unwrap_or_default()
+        longest_expiry(&self.config)
     }
 
     /// With more clients than this, idle ones are closed.
@@ -310,7 +315,8 @@
                 Ok(Some(message)) => message,
                 Ok(None) => return client.pauses(now),
                 Err(fault) => {
-                    self.complaints.warn(now, format_args!("client: {fault}"));
+                    self.complaints.warn(now, format_args!("client {number}: {fault}"));
+                    log::debug!(target: "copperroute::trace", "client {number} unreadable");
                     return self.client_closed(now, number);
                 }
             };
@@ -324,7 +330,7 @@
                 Message::Abort(_) => open.into_iter().for_each(|dl| self.forsake(now, dl)),
                 // Two answers under one tag could not be told apart.
                 _ if open.is_some() => {
-                    self.complaints.warn(now, format_args!("client: tag {tag} is open already"));
+                    self.complaints.warn(now, format_args!("client {number}: tag {tag} is open already"));
                     return self.client_closed(now, number);
                 }
                 Message::Request(..) if taken >= MOST_OPEN => {
@@ -332,7 +338,7 @@
                 }
                 Message::Request(_, request) => self.download(now, number, tag, *request),
                 Message::Unusable(_, why) => {
-                    self.complaints.warn(now, format_args!("client: {why}"));
+                    self.spoil(now, number, &why);
                     self.desk.write(number, tag, Answer::Abandoned);
                 }
                 Message::Health(_) => {
@@ -345,6 +351,15 @@
         }
     }
 
+    /// A client has sent a request that can't be used: nothing more of its connection is taken.
+    fn spoil(&mut self, now: Nanos, number: u32, why: &str) {
+        self.complaints.warn(now, format_args!("client {number}: {why}"));
+        log::debug!(target: "copperroute::trace", "client {number} spoilt");
+        if let Some(client) = self.desk.clients.get_mut(number) {
+            client.spoilt = true;
+        }
+    }
+
     /// The content type of a request that the settings allow, or why they don't.
     fn usable(&self, request: &Request) -> Result<u32, String> {
         let name = &request.content_type;
@@ -363,12 +378,20 @@
     }
 
     fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
-        let content_type = match self.usable(&request) {
-            Ok(content_type) => content_type,
-            Err(why) => {
-                self.complaints.warn(now, format_args!("client: {why}"));
+        let spoilt = self.desk.clients.get_mut(client).is_some_and(|client| client.spoilt);
+        let verdict = self.conduct.judge(now, stable_hash(request.id.as_str().as_bytes()), spoilt);
+        let content_type = match (verdict, self.usable(&request)) {
+            (Verdict::Take, Ok(content_type)) => content_type,
+            (Verdict::Take, Err(why)) => {
+                self.spoil(now, client, &why);
                 return self.desk.write(client, tag, Answer::Abandoned);
             }
+            (Verdict::Again, _) => {
+                self.spoil(now, client, &format!("req: {} came before", request.id));
+                return self.desk.write(client, tag, Answer::Abandoned);
+            }
+            // What spoilt it was told.
+            (Verdict::Spoilt, _) => return self.desk.write(client, tag, Answer::Abandoned),
         };
         let of_copies = !self.config.offers[content_type as usize].writes;
         let once = self.config.settings.content_types[content_type as usize].repeat != Repeat::Retriable;
@@ -539,6 +562,11 @@
     }
 }
 
+/// The longest that any client waits.
+fn longest_expiry(config: &Config) -> Nanos {
+    config.offers.iter().map(|offer| offer.expiry).max().unwrap_or_default()
+}
+
 /// What the disk is asked under: the download's slot, and enough of its serial to tell it from the next one there.
 fn ticket(dl: DlId, serial: u64) -> u64 {
     u64::from(dl.0) << 32 | serial & 0xffff_ffff
--- /dev/null
+++ b/src/conduct.rs
@@ -0,0 +1,83 @@
+//! Clients' conduct: what is refused before the policy hears of it, for what its client has shown of itself.
+//!
+//! By the protocol a client's id of a download is new with every download, its retries too, and no id comes
+//! again. One that does is no download of a usual client: sent on, its answer could be taken for that of the
+//! first, and a flood of the same id would fill every connection to a node. A connection that has sent a
+//! request that can't be used is spoilt: usual clients never do, so the rest of what it sends is refused as
+//! well, and reaches no node. Refusals are answered at once, as failed: nothing is promised to such a client.
+//!
+//! Each id is kept for as long as a download under it could still be open somewhere, and at most so many: the
+//! oldest are forgotten first. A spoilt connection is forgotten with the connection.
+
+use crate::interface::Nanos;
+use std::collections::{HashMap, VecDeque};
+
+/// Ids that are kept at most: a dispatcher takes some tens of downloads a second, a flood some thousands.
+pub const MOST_IDS: usize = 65_536;
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is a download.
+    Take,
+    /// Its id came before.
+    Again,
+    /// Its connection sent what can't be used.
+    Spoilt,
+}
+
+/// The ids seen lately.
+#[derive(Debug)]
+pub struct Conduct {
+    /// When each id was seen.
+    seen: HashMap<u64, Nanos>,
+    /// The same, oldest first.
+    order: VecDeque<(Nanos, u64)>,
+    /// How long an id is kept.
+    kept_for: Nanos,
+    most: usize,
+}
+
+impl Conduct {
+    /// Keeps each id for `kept_for`, the longest that a download may be open, and at most `most` of them.
+    pub fn new(kept_for: Nanos, most: usize) -> Self {
+        Conduct { seen: HashMap::new(), order: VecDeque::new(), kept_for, most: most.max(1) }
+    }
+
+    /// A whole request has come, under the client's id (as a hash), on a connection that is spoilt or not.
+    pub fn judge(&mut self, now: Nanos, id: u64, spoilt: bool) -> Verdict {
+        self.forget(now);
+        if self.seen.contains_key(&id) {
+            return Verdict::Again;
+        }
+        // Its id is kept all the same: were it taken later on another connection, it would come again.
+        if self.seen.len() >= self.most
+            && let Some((_, oldest)) = self.order.pop_front()
+        {
+            self.seen.remove(&oldest);
+        }
+        self.seen.insert(id, now);
+        self.order.push_back((now, id));
+        if spoilt { Verdict::Spoilt } else { Verdict::Take }
+    }
+
+    /// How many ids are kept.
+    pub fn len(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
+    fn forget(&mut self, now: Nanos) {
+        while let Some((at, id)) = self.order.front().copied() {
+            if now.since(at) < self.kept_for {
+                break;
+            }
+            self.order.pop_front();
+            self.seen.remove(&id);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! adapter calls [`decide::Dispatcher`] and hands it an [`interface::Outbox`] to answer through.
 
 pub mod chance;
+pub mod conduct;
 pub mod decide;
 pub mod gate;
 pub mod ids;
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -1,6 +1,7 @@
 //! The decisions, as traces that people read.
 
 mod common;
+mod conduct;
 mod failures;
 mod ordinary;
 mod rules;
