--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -378,6 +378,10 @@
 
     /// A connection to a node is over, or never came up: what had not left whole never ran.
     pub fn node_closed(&mut self, connection: u32) {
+        if let Some(node) = self.nodes.node_of(connection) {
+            let id = self.nodes.id(node);
+            log::debug!(target: TRACE, "node {id}: connection {connection} ended");
+        }
         for (pull, outcome) in self.nodes.close(connection, &mut self.effects) {
             self.end(pull, outcome, None);
         }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -343,6 +343,11 @@
         }
     }
 
+    /// The node that a connection goes to.
+    pub fn node_of(&self, number: u32) -> Option<NodeId> {
+        self.connections.get(&number).map(|connection| connection.node)
+    }
+
     /// Whether a connection is still being made.
     pub fn is_connecting(&self, number: u32) -> bool {
         self.connections.get(&number).is_some_and(|connection| !connection.up)
