Wait for a fill that is under way instead of making it twice

Now pull_ended notes the cache as ridden (Dl::rides) and arms a look again after the smoothed time of own fills, half to one and a half of it by chance; the look again is a plain look at that cache. Where fills can be shared, the fill rides on the one under way as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,6 +52,7 @@
 const FURTHER_FLOOR: f64 = 0.1;
 const SMOOTH: f64 = 0.2;
 const DEFAULT_WORK_S: f64 = 0.3; // sending time of a content type not yet seen
+const LOOK_AGAIN: u32 = u32::MAX; // the serial of a look after a fill by another
 
 /// One dispatcher's decisions.
 #[derive(Debug)]
@@ -64,8 +65,9 @@
     fills: Fills, // kept fills by their ratio
     link: Link,
     fetch_usual_s: f64,
-    fetches: Ring<2>, // fetches from the origin that came in time, and that were late or refused
-    further: Ring<2>, // further pulls that worked, that failed
+    fill_usual_s: f64, // of fills that worked, from send to end
+    fetches: Ring<2>,  // fetches from the origin that came in time, and that were late or refused
+    further: Ring<2>,  // further pulls that worked, that failed
     purges: Purges,
     storm: Option<Storm>, // off unless the operators tell of storms
     chance: Chance,
@@ -84,6 +86,7 @@
             fills: Fills::new(FILLS_SEEN, BUCKETS),
             link: Link::new(JUDGED_OVER, BUCKETS),
             fetch_usual_s: FETCH_USUAL_S,
+            fill_usual_s: FETCH_USUAL_S,
             fetches: Ring::new(JUDGED_OVER, BUCKETS),
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
@@ -167,9 +170,11 @@
     /// before a fill is asked of it, so that every fill is decided as one: link, cold parents and origin get
     /// only what they bear. One that drained meanwhile is not filled (rule 3): the look goes elsewhere.
     fn pull(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
-        let Some(dl) = self.dls.get(id.0).cloned() else { return };
+        let Some(dl) = self.dls.get_mut(id.0).map(|dl| (dl.rides.take(), dl.clone())) else { return };
+        let (rides, dl) = dl;
         let chosen = match dl.missed_at.filter(|id| self.nodes.get(*id).is_some_and(|n| n.listed)) {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
+            Some(node) if rides == Some(node) && self.open(now, node) => Some((node, node)),
             Some(node) if self.too_full(now, &dl, node) => None,
             Some(node) => self.source(now, &dl).map(|source| (node, source)),
             // A cold cache holds little: a look there would only spend what it can bear.
@@ -182,7 +187,7 @@
             },
         };
         let Some((node, source)) = chosen else { return self.give_up(now, id, out) };
-        self.serial = self.serial.wrapping_add(1);
+        self.serial = self.serial % (LOOK_AGAIN - 1) + 1;
         let sent = Sent { node, source, at: now, serial: self.serial, out: true, left: true, reached: true };
         let by_parent = !sent.is_look() && self.nodes.is_parent(source);
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
@@ -421,6 +426,9 @@
         if let Some(n) = self.nodes.get_mut(sent.source) {
             n.saw_first_byte(now, own + (took - fair).max(0.0), SMOOTH, FADES);
         }
+        if end.outcome == Outcome::Fulfilled {
+            self.fill_usual_s += SMOOTH * (end.took.secs() - self.fill_usual_s);
+        }
         let [took, fair, _] = self.link.pace.sums(now);
         if took > fair {
             self.link.limit = (self.link.limit * 0.97).max(FILL_FLOOR * self.link.part);
@@ -534,6 +542,8 @@
         let blamed = if could { dl.erred_at.take() } else { None };
         dl.erred_at = erred.or(dl.erred_at);
         dl.missed_at = missed.then_some(sent.node);
+        // Where fills can't be shared, one under way for another download is waited for, not made twice.
+        dl.rides = (missed && end.remark == Remark::Joined && !self.s.joins).then_some(sent.node);
         let dl = dl.clone();
         if !sent.is_look() {
             self.fill_ended(now, &dl, &sent, end);
@@ -555,7 +565,16 @@
             let allowed = in_time && pulls < self.s.max_pulls as usize;
             // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
             let nowhere = (end.outcome == NotHeld && !missed) || end.remark == Remark::OriginFailed;
-            if allowed && !nowhere && (missed || self.chance.share() < share * storm) {
+            // The look after it leaves room for a fill of its own.
+            let wait = if dl.rides.is_some() { self.fill_usual_s * (0.5 + self.chance.share()) } else { 0.0 };
+            let in_time = dl.d.expires.since(now).secs() > wait + dl.work_s;
+            let rides = allowed && dl.rides.is_some() && in_time && pulls + 2 <= self.s.max_pulls as usize;
+            if !rides {
+                self.dls.get_mut(id.0).into_iter().for_each(|dl| dl.rides = None);
+            }
+            if rides {
+                out.arm(Nanos::from_secs(wait), u64::from(id.0) << 32 | u64::from(LOOK_AGAIN));
+            } else if allowed && !nowhere && (missed || self.chance.share() < share * storm) {
                 self.pull(now, id, out);
             } else {
                 self.give_up(now, id, out);
@@ -736,6 +755,12 @@
             return out.follow();
         }
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
+        if token as u32 == LOOK_AGAIN {
+            if dl.stage == Stage::Pulling && dl.rides.is_some() && dl.pulls.iter().all(|p| !p.out) {
+                self.pull(now, dl.d.dl, out);
+            }
+            return;
+        }
         let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
         let heard = |id: NodeId| self.nodes.get(id).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
         // Where the node answers, what is overdue hangs further up: at the source, or at the origin. There it
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,6 +143,8 @@
     pub pulls: Vec<Sent>,
     /// The cache that was looked at last and holds nothing.
     pub missed_at: Option<NodeId>,
+    /// That cache fills the copy for another download: it is looked at again once that may be done.
+    pub rides: Option<NodeId>,
     /// The first pull that is not proved never to have run.
     pub may_have_run: Option<(Nanos, NodeId)>,
     /// The node that last answered with an error of its own.
@@ -156,7 +158,8 @@
     pub fn new(d: Download, work_s: f64, keep: Keep) -> Self {
         let (pulls, stage) = (Vec::new(), Stage::Taken);
         let claim = Claim::default();
-        Dl { d, stage, work_s, keep, pulls, missed_at: None, may_have_run: None, erred_at: None, claim }
+        let (missed_at, rides, may_have_run, erred_at) = (None, None, None, None);
+        Dl { d, stage, work_s, keep, pulls, missed_at, rides, may_have_run, erred_at, claim }
     }
 }
 
--- a/tests/module/common.rs
+++ b/tests/module/common.rs
@@ -4,9 +4,9 @@
 use copperroute::interface::*;
 use std::fmt::Write as _;
 
-/// Prints each thing that the module sends as a line.
+/// Prints each thing that the module sends as a line, and keeps the timers that it arms.
 #[derive(Default)]
-pub struct Trace(pub String);
+pub struct Trace(pub String, pub Vec<(Nanos, u64)>);
 
 macro_rules! say {
     ($trace:ident, $($parts:tt)*) => {{ let _ = writeln!($trace.0, $($parts)*); }};
@@ -31,7 +31,9 @@
     fn abandon(&mut self, dl: DlId) {
         say!(self, "dl {}: abandoned", dl.0);
     }
-    fn arm(&mut self, _span: Nanos, _token: u64) {}
+    fn arm(&mut self, span: Nanos, token: u64) {
+        self.1.push((span, token));
+    }
     fn follow(&mut self) {
         say!(self, "follow");
     }
--- a/tests/module/ordinary.rs
+++ b/tests/module/ordinary.rs
@@ -3,6 +3,7 @@
 use crate::common::*;
 use copperroute::interface::*;
 use expect_test::expect;
+use std::fmt::Write as _;
 
 /// Settings of the only dispatcher of a location.
 fn alone() -> Settings {
@@ -124,3 +125,46 @@
     "#]]
     .assert_eq(&format!("kept of 100, by 1, 2 and 20 dispatchers: {kept:?}\n"));
 }
+
+/// A look at object 9 finds a fill of it under way for another download; then what the look after the wait finds.
+fn fill_under_way(joins: bool, again: Outcome, remark: Remark) -> String {
+    let (mut module, mut trace) = start(Settings { joins, ..alone() });
+    // A look again is armed under a token whose low half is all ones.
+    let waits = |trace: &mut Trace| {
+        let armed = trace.1.drain(..).rfind(|(_, token)| *token as u32 == u32::MAX);
+        let _ = armed.map(|(wait, _)| writeln!(trace.0, "looks again after {:.2} s", wait.secs()));
+        armed.map(|armed| armed.1)
+    };
+    ask(&mut module, ms(1_000), 0, 0, 9, &mut trace);
+    module.pull_ended(ms(1_002), DlId(0), 0, &end(Outcome::NotHeld, Remark::Joined), &mut trace);
+    if let Some(token) = waits(&mut trace) {
+        module.timer(ms(1_100), token, &mut trace);
+        module.pull_ended(ms(1_200), DlId(0), 1, &end(again, remark), &mut trace);
+        waits(&mut trace);
+    }
+    trace.0
+}
+
+#[test]
+fn where_fills_are_not_shared_a_fill_under_way_is_waited_for_not_made_twice() {
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0
+        looks again after 0.07 s
+        dl 0: pull 1 from 1 rank 0
+    "#]]
+    .assert_eq(&fill_under_way(false, Outcome::Fulfilled, Remark::Hit));
+    // It is under way still: once more, leaving room for a fill of its own.
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0
+        looks again after 0.07 s
+        dl 0: pull 1 from 1 rank 0
+        looks again after 0.14 s
+    "#]]
+    .assert_eq(&fill_under_way(false, Outcome::NotHeld, Remark::Joined));
+    // Where fills are shared, the fill rides on the one under way.
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 4 rank 0 join
+    "#]]
+    .assert_eq(&fill_under_way(true, Outcome::Fulfilled, Remark::FilledFromCopy));
+}
