Take back the spoiling of client connections; ids that come again stay refused

So Conduct judges ids only (Take or Again), the reducer answers an unusable request failed as before, and the Client keeps no spoilt mark.

--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -41,8 +41,6 @@
     asked: bool,
     /// Since when the rest of a message is missing.
     midway: Option<Nanos>,
-    /// It sent a request that can't be used: nothing else of it is taken.
-    pub spoilt: bool,
 }
 
 impl Client {
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -338,7 +338,7 @@
                 }
                 Message::Request(_, request) => self.download(now, number, tag, *request),
                 Message::Unusable(_, why) => {
-                    self.spoil(now, number, &why);
+                    self.complaints.warn(now, format_args!("client {number}: {why}"));
                     self.desk.write(number, tag, Answer::Abandoned);
                 }
                 Message::Health(_) => {
@@ -351,15 +351,6 @@
         }
     }
 
-    /// A client has sent a request that can't be used: nothing more of its connection is taken.
-    fn spoil(&mut self, now: Nanos, number: u32, why: &str) {
-        self.complaints.warn(now, format_args!("client {number}: {why}"));
-        log::debug!(target: "copperroute::trace", "client {number} spoilt");
-        if let Some(client) = self.desk.clients.get_mut(number) {
-            client.spoilt = true;
-        }
-    }
-
     /// The content type of a request that the settings allow, or why they don't.
     fn usable(&self, request: &Request) -> Result<u32, String> {
         let name = &request.content_type;
@@ -378,20 +369,17 @@
     }
 
     fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
-        let spoilt = self.desk.clients.get_mut(client).is_some_and(|client| client.spoilt);
-        let verdict = self.conduct.judge(now, stable_hash(request.id.as_str().as_bytes()), spoilt);
-        let content_type = match (verdict, self.usable(&request)) {
+        let id = stable_hash(request.id.as_str().as_bytes());
+        let content_type = match (self.conduct.judge(now, id), self.usable(&request)) {
             (Verdict::Take, Ok(content_type)) => content_type,
             (Verdict::Take, Err(why)) => {
-                self.spoil(now, client, &why);
+                self.complaints.warn(now, format_args!("client {client}: {why}"));
                 return self.desk.write(client, tag, Answer::Abandoned);
             }
             (Verdict::Again, _) => {
-                self.spoil(now, client, &format!("req: {} came before", request.id));
+                self.complaints.warn(now, format_args!("client {client}: req: {} came before", request.id));
                 return self.desk.write(client, tag, Answer::Abandoned);
             }
-            // What spoilt it was told.
-            (Verdict::Spoilt, _) => return self.desk.write(client, tag, Answer::Abandoned),
         };
         let of_copies = !self.config.offers[content_type as usize].writes;
         let once = self.config.settings.content_types[content_type as usize].repeat != Repeat::Retriable;
--- a/src/conduct.rs
+++ b/src/conduct.rs
@@ -2,12 +2,13 @@
 //!
 //! By the protocol a client's id of a download is new with every download, its retries too, and no id comes
 //! again. One that does is no download of a usual client: sent on, its answer could be taken for that of the
-//! first, and a flood of the same id would fill every connection to a node. A connection that has sent a
-//! request that can't be used is spoilt: usual clients never do, so the rest of what it sends is refused as
-//! well, and reaches no node. Refusals are answered at once, as failed: nothing is promised to such a client.
+//! first, and a flood of the same id would fill every connection to a node. It is answered at once, as failed.
 //!
 //! Each id is kept for as long as a download under it could still be open somewhere, and at most so many: the
-//! oldest are forgotten first. A spoilt connection is forgotten with the connection.
+//! oldest are forgotten first.
+//!
+//! Refusing all else that a connection sends once it has sent something unusable was measured and not kept: on
+//! the days of rude clients their later downloads are worth serving (`docs/fleet.md`).
 
 use crate::interface::Nanos;
 use std::collections::{HashMap, VecDeque};
@@ -22,8 +23,6 @@
     Take,
     /// Its id came before.
     Again,
-    /// Its connection sent what can't be used.
-    Spoilt,
 }
 
 /// The ids seen lately.
@@ -44,13 +43,12 @@
         Conduct { seen: HashMap::new(), order: VecDeque::new(), kept_for, most: most.max(1) }
     }
 
-    /// A whole request has come, under the client's id (as a hash), on a connection that is spoilt or not.
-    pub fn judge(&mut self, now: Nanos, id: u64, spoilt: bool) -> Verdict {
+    /// A whole request has come, under the client's id (as a hash).
+    pub fn judge(&mut self, now: Nanos, id: u64) -> Verdict {
         self.forget(now);
         if self.seen.contains_key(&id) {
             return Verdict::Again;
         }
-        // Its id is kept all the same: were it taken later on another connection, it would come again.
         if self.seen.len() >= self.most
             && let Some((_, oldest)) = self.order.pop_front()
         {
@@ -58,7 +56,7 @@
         }
         self.seen.insert(id, now);
         self.order.push_back((now, id));
-        if spoilt { Verdict::Spoilt } else { Verdict::Take }
+        Verdict::Take
     }
 
     /// How many ids are kept.
