While the origin is spared, ask the copy's first cache of another location first

The site lets caches fill from caches of any location (family_info.sideways any), which the settings did not read.

Now Settings::sideways reads it; Nodes::homes_away gives, for each other location, the warm cache that the copy's hash puts first there; the policy asks that one held-only before the parents, once a download, only where the origin is spared for that fill (may_fetch says no). A lack there goes on to the parents as the first fill (Nodes::from_above), not as a further pull.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -199,6 +199,7 @@
             direct: self.flag("family_info.pass_through_ok")?,
             joins: self.flag("family_info.shares_fills")?,
             fills_told: self.raw("family_info.detail") == Some("all"),
+            sideways: self.raw("family_info.sideways") == Some("any"),
             client_kb_per_s: self.number_or("family_info.client_kb_per_s", 0.0)?,
             link_kb_per_s: self.listed_number("family_info.pipe_kb_per_s", zone as usize, 0.0)?,
             purge_done: self.span_or_zero("family_info.purge_done_s")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -170,13 +170,13 @@
     /// before a fill is asked of it, so that every fill is decided as one: link, cold parents and origin get
     /// only what they bear. One that drained meanwhile is not filled (rule 3): the look goes elsewhere.
     fn pull(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
-        let Some(dl) = self.dls.get_mut(id.0).map(|dl| (dl.rides.take(), dl.clone())) else { return };
-        let (rides, dl) = dl;
+        let Some(dl) = self.dls.get_mut(id.0) else { return };
+        let (rides, dl) = (dl.rides.take(), dl.clone());
         let chosen = match dl.missed_at.filter(|id| self.nodes.get(*id).is_some_and(|n| n.listed)) {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
             Some(node) if rides == Some(node) && self.open(now, node) => Some((node, node)),
             Some(node) if self.too_full(now, &dl, node) => None,
-            Some(node) => self.source(now, &dl).map(|source| (node, source)),
+            Some(node) => self.sibling(now, &dl).or_else(|| self.source(now, &dl)).map(|from| (node, from)),
             // A cold cache holds little: a look there would only spend what it can bear.
             None => match self.edge(now, &dl) {
                 Some(node) if self.nodes.is_cold(now, node, self.s.cache_cold.warm_after) => {
@@ -190,6 +190,7 @@
         self.serial = self.serial % (LOOK_AGAIN - 1) + 1;
         let sent = Sent { node, source, at: now, serial: self.serial, out: true, left: true, reached: true };
         let by_parent = !sent.is_look() && self.nodes.is_parent(source);
+        let by_cache = !sent.is_look() && !self.nodes.from_above(&sent);
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
         let rank = if self.nodes.is_parent(node) { 0 } else { asked_of };
         let pull = Pull {
@@ -199,7 +200,7 @@
             rank,
             max_age: self.max_age(now, &dl.d),
             join: self.s.joins && dl.pulls.len() < 2,
-            held_only: by_parent && !self.may_fetch(now, dl.keep.fill_rank),
+            held_only: by_cache || (by_parent && !self.may_fetch(now, dl.keep.fill_rank)),
             no_parent_copy: rank == 3 && by_parent,
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
@@ -437,6 +438,16 @@
         }
     }
 
+    /// Where caches may fill from other locations and the origin is spared, so that parents give only what
+    /// they hold: first the first of theirs for the copy, once a download. The same copy is asked for
+    /// everywhere, so it is often held there when it is not here, one hop away; else it is one more look.
+    fn sibling(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
+        let asked = !self.s.sideways || dl.pulls.iter().any(|p| !p.is_look() && !self.nodes.from_above(p));
+        let spared = !asked && !self.may_fetch(now, dl.keep.fill_rank);
+        let homes = self.nodes.homes_away(dl.d.copy_hash, now, self.s.cache_cold.warm_after);
+        homes.into_iter().find(|id| spared && self.open(now, *id))
+    }
+
     /// The better of the first two open parents in hash order, by smoothed time to first byte.
     fn source(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
         if !self.link_has_room(now, dl) {
@@ -528,7 +539,9 @@
         let sent = *sent;
         use Outcome::{CalledOff, Failed, Fulfilled, NotHeld, NotSent, Refused, Unreachable};
         let missed = end.outcome == NotHeld && sent.is_look();
-        let filled = dl.pulls.iter().take(number as usize).any(|p| !p.is_look());
+        // A cache elsewhere that lacks the copy leaves the parents to fill it: that was no fill.
+        let lacks = end.remark == Remark::SourceHasNone && !sent.is_look() && !self.nodes.from_above(&sent);
+        let filled = dl.pulls.iter().take(number as usize).any(|p| self.nodes.from_above(p));
         let again = (filled || (number > 0 && dl.missed_at.is_none())) && !missed && end.outcome != CalledOff;
         let worked = end.outcome == Fulfilled;
         let never_ran = matches!(end.outcome, Refused | Unreachable | NotSent | NotHeld);
@@ -541,7 +554,7 @@
         let could = worked || end.outcome == NotHeld;
         let blamed = if could { dl.erred_at.take() } else { None };
         dl.erred_at = erred.or(dl.erred_at);
-        dl.missed_at = missed.then_some(sent.node);
+        dl.missed_at = (missed || lacks).then_some(sent.node);
         // Where fills can't be shared, one under way for another download is waited for, not made twice.
         dl.rides = (missed && end.remark == Remark::Joined && !self.s.joins).then_some(sent.node);
         let dl = dl.clone();
@@ -564,17 +577,15 @@
             let pulls = dl.pulls.len() + usize::from(dl.claim.spent);
             let allowed = in_time && pulls < self.s.max_pulls as usize;
             // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
-            let nowhere = (end.outcome == NotHeld && !missed) || end.remark == Remark::OriginFailed;
+            let nowhere = (end.outcome == NotHeld && !missed && !lacks) || end.remark == Remark::OriginFailed;
             // The look after it leaves room for a fill of its own.
             let wait = if dl.rides.is_some() { self.fill_usual_s * (0.5 + self.chance.share()) } else { 0.0 };
             let in_time = dl.d.expires.since(now).secs() > wait + dl.work_s;
             let rides = allowed && dl.rides.is_some() && in_time && pulls + 2 <= self.s.max_pulls as usize;
-            if !rides {
-                self.dls.get_mut(id.0).into_iter().for_each(|dl| dl.rides = None);
-            }
+            self.dls.get_mut(id.0).filter(|_| !rides).into_iter().for_each(|dl| dl.rides = None);
             if rides {
                 out.arm(Nanos::from_secs(wait), u64::from(id.0) << 32 | u64::from(LOOK_AGAIN));
-            } else if allowed && !nowhere && (missed || self.chance.share() < share * storm) {
+            } else if allowed && !nowhere && (missed || lacks || self.chance.share() < share * storm) {
                 self.pull(now, id, out);
             } else {
                 self.give_up(now, id, out);
@@ -755,11 +766,9 @@
             return out.follow();
         }
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
-        if token as u32 == LOOK_AGAIN {
-            if dl.stage == Stage::Pulling && dl.rides.is_some() && dl.pulls.iter().all(|p| !p.out) {
-                self.pull(now, dl.d.dl, out);
-            }
-            return;
+        let waits = dl.stage == Stage::Pulling && dl.rides.is_some() && dl.pulls.iter().all(|p| !p.out);
+        if token as u32 == LOOK_AGAIN && waits {
+            return self.pull(now, dl.d.dl, out);
         }
         let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
         let heard = |id: NodeId| self.nodes.get(id).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -174,6 +174,8 @@
     pub joins: bool,
     /// Whether answers tell a fill that a parent held from one that went to the origin.
     pub fills_told: bool,
+    /// Whether a cache may fill from the caches of other locations.
+    pub sideways: bool,
     /// The top pace of one answer in KB a second; 0 if not told.
     pub client_kb_per_s: f64,
     /// What the own location's link for fills carries, in KB a second; 0 if not told.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher keeps of its downloads, objects and nodes. State only: nothing here decides.
 
+use crate::interface::mix;
 use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, ObjectId, Readiness, ZoneId};
 use crate::recent::Recent;
 use crate::ring::Ring;
@@ -430,6 +431,26 @@
         self.caches.iter().filter_map(|id| self.slots.get(id.0))
     }
 
+    /// For each other location the cache that a copy's hash puts first there (highest random weight, by size),
+    /// where it is warm, by that weight.
+    pub fn homes_away(&self, copy_hash: u64, now: Nanos, warm_after: Nanos) -> Vec<NodeId> {
+        let kinds = [self.parent_kind, self.origin_kind];
+        let away = |n: &&Node| n.listed && n.e.zone != self.zone && !kinds.contains(&Some(n.e.kind));
+        let mut homes: Vec<(ZoneId, f64, NodeId)> = Vec::new();
+        for n in self.slots.iter().filter(away) {
+            let share = (mix(copy_hash ^ n.e.hash) >> 11) as f64 / (1_u64 << 53) as f64;
+            let key = (-(share.max(1e-18)).ln() / n.e.weight.max(0.1), n.e.node);
+            match homes.iter_mut().find(|home| home.0 == n.e.zone) {
+                Some(home) if (key.0, key.1) < (home.1, home.2) => (home.1, home.2) = key,
+                Some(_) => {}
+                None => homes.push((n.e.zone, key.0, key.1)),
+            }
+        }
+        homes.retain(|home| !self.is_cold(now, home.2, warm_after));
+        homes.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)));
+        homes.into_iter().map(|home| home.2).collect()
+    }
+
     /// The listed parents.
     pub fn parents(&self) -> impl Iterator<Item = &Node> {
         self.parents.iter().filter_map(|id| self.slots.get(id.0))
@@ -462,6 +483,11 @@
         self.get(id).is_some_and(|n| Some(n.e.kind) == self.parent_kind)
     }
 
+    /// Whether a pull is a fill from a parent or the origin.
+    pub fn from_above(&self, sent: &Sent) -> bool {
+        !sent.is_look() && (self.is_parent(sent.source) || self.is_origin(sent.source))
+    }
+
     /// Whether this is the origin.
     pub fn is_origin(&self, id: NodeId) -> bool {
         self.get(id).is_some_and(|n| Some(n.e.kind) == self.origin_kind)
--- a/tests/module/common.rs
+++ b/tests/module/common.rs
@@ -74,6 +74,7 @@
         direct: true,
         joins: true,
         fills_told: true,
+        sideways: false,
         client_kb_per_s: 10_000.0,
         link_kb_per_s: 0.0,
         purge_done: ms(6_000),
--- a/tests/module/ordinary.rs
+++ b/tests/module/ordinary.rs
@@ -168,3 +168,58 @@
     "#]]
     .assert_eq(&fill_under_way(true, Outcome::Fulfilled, Remark::FilledFromCopy));
 }
+
+/// A dispatcher that also knows caches 6 and 7 of another location; a look at object 9 misses, then the fill ends so.
+fn filled_elsewhere(sideways: bool, outcome: Outcome, remark: Remark) -> String {
+    elsewhere(sideways, true, Nanos::ZERO, outcome, remark)
+}
+
+fn elsewhere(sideways: bool, spared: bool, started: Nanos, outcome: Outcome, remark: Remark) -> String {
+    let (mut module, mut trace) = start(Settings { sideways, ..alone() });
+    let away = |id| NodeEntry { zone: ZoneId(1), ..entry(id, 0, Readiness::Ready, started) };
+    module.nodes_changed(ms(1), &[away(6), away(7)], &mut trace);
+    // The origin has failed lately: it is spared.
+    for dl in (10..20).filter(|_| spared) {
+        ask(&mut module, ms(500), dl, 0, dl, &mut trace);
+        miss(&mut module, ms(500), dl, &mut trace);
+        module.pull_ended(ms(510), DlId(dl), 1, &end(Outcome::Refused, Remark::OriginFailed), &mut trace);
+    }
+    trace.0.clear();
+    ask(&mut module, ms(1_000), 0, 0, 9, &mut trace);
+    miss(&mut module, ms(1_001), 0, &mut trace);
+    module.pull_ended(ms(1_010), DlId(0), 1, &end(outcome, remark), &mut trace);
+    trace.0
+}
+
+#[test]
+fn where_caches_may_fill_from_other_locations_a_fill_asks_there_first() {
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 6 rank 0 join held-only
+    "#]]
+    .assert_eq(&filled_elsewhere(true, Outcome::Fulfilled, Remark::FilledFromCopy));
+    // What it lacks goes to the parents, and that cache is not asked again.
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 6 rank 0 join held-only
+        dl 0: pull 1 from 4 rank 0 held-only
+    "#]]
+    .assert_eq(&filled_elsewhere(true, Outcome::NotHeld, Remark::SourceHasNone));
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 4 rank 0 join
+    "#]]
+    .assert_eq(&filled_elsewhere(false, Outcome::Fulfilled, Remark::FilledFromCopy));
+    // Caches there that have just started are not asked (rule 4).
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 4 rank 0 join held-only
+    "#]]
+    .assert_eq(&elsewhere(true, true, ms(900), Outcome::Fulfilled, Remark::FilledFromCopy));
+    // While the origin is not spared, parents fill as they would.
+    expect![[r#"
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: pull 1 from 4 rank 0 join
+    "#]]
+    .assert_eq(&elsewhere(true, false, Nanos::ZERO, Outcome::Fulfilled, Remark::FilledFromCopy));
+}
