--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,13 +1,16 @@
 //! `copperroute-lab`: plays failures and crowds of clients against real dispatchers on loopback.
 
-mod changelog;
 mod clients;
+mod groups;
+mod links;
 mod nodes;
 mod pace;
 mod play;
+mod processes;
 mod report;
 mod results;
 mod scenario;
+mod service;
 mod world;
 
 use clap::{Parser, Subcommand};
--- a/lab/src/pace.rs
+++ b/lab/src/pace.rs
@@ -1,7 +1,7 @@
 //! How many downloads a dispatcher carries in a second of a core, beside a bare relay that only passes bytes
 //! through the same sockets.
 
-use crate::play::{ready, used};
+use crate::processes::{ready, used};
 use crate::world::{World, unix_ms};
 use copperroute_protocol::incoming::Incoming;
 use serde_json::json;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::results::{Outcome, Second};
 use crate::scenario::Scenario;
+use crate::world::Tally;
 use minijinja::{Environment, context};
 use plotters::prelude::*;
 use std::path::Path;
@@ -67,6 +68,15 @@
     outcomes.iter().flat_map(|outcome| what.iter().map(move |what| of(outcome, what))).collect()
 }
 
+/// Calls at the list service, second by second.
+fn service_curves(outcomes: &[Outcome]) -> Vec<Curve> {
+    let of = |outcome: &Outcome| {
+        let name = outcome.program.rsplit('/').next().unwrap_or_default().to_string();
+        (name, outcome.heard.seconds.iter().map(|tally| f64::from(tally.calls)).collect())
+    };
+    outcomes.iter().map(of).collect()
+}
+
 /// The figures of plays, a row each: name, and one value a play.
 pub fn rows(outcomes: &[Outcome]) -> Vec<(&'static str, Vec<String>)> {
     let each = |value: &dyn Fn(&Outcome) -> String| outcomes.iter().map(value).collect();
@@ -89,6 +99,35 @@
             "a download waited, s (median, 99%)",
             each(&|o| format!("{:.2}, {:.2}", o.waited_s[0], o.waited_s[1])),
         ),
+        ("calls at the list service, most in a second", each(&|o| o.heard.peak.to_string())),
+        ("times that it fell over", each(&|o| o.heard.falls.to_string())),
+        (
+            "all current, s after the start, and after the last fault",
+            each(&|o| {
+                let said = |at: Option<f64>| at.map_or("never".into(), |at| format!("{at:.1}"));
+                format!("{}, {}", said(o.heard.first_current_s), said(o.heard.current_s))
+            }),
+        ),
+        (
+            "lines of one dispatcher on it, at most",
+            each(&|o| o.heard.log_lines.unwrap_or_default().to_string()),
+        ),
+        (
+            "connections to nodes opened, turned away, most held by one",
+            each(&|o| {
+                let sum = |of: fn(&Tally) -> u32| o.tallies.iter().map(of).sum::<u32>();
+                let most = o.tallies.iter().map(|tally| tally.held_most).max().unwrap_or_default();
+                format!("{}, {}, {most}", sum(|t| t.opened), sum(|t| t.turned_away))
+            }),
+        ),
+        (
+            "pulls at cold nodes, looks there, fills at parents, at the origin",
+            each(&|o| {
+                let sum = |of: fn(&Tally) -> u32| o.tallies.iter().map(of).sum::<u32>();
+                let [pulls, looks] = [sum(|t| t.cold_pulls), sum(|t| t.cold_looks)];
+                format!("{pulls}, {looks}, {}, {}", sum(|t| t.parent_fills), sum(|t| t.origin_fills))
+            }),
+        ),
         ("MB that the origin gave out", each(&|o| format!("{:.2}", o.traffic[0] as f64 / 1e6))),
         ("pulls at nodes", each(&|o| o.traffic[1].to_string())),
         ("CPU of the dispatchers, s", each(&|o| format!("{:.2}", o.cpu_s))),
@@ -115,6 +154,7 @@
                 ],
             ),
         ),
+        ("Calls at the list service", service_curves(outcomes)),
         ("CPU of the dispatchers, ms a second", curves(outcomes, &[("CPU", &|second| second.cpu_ms)])),
     ];
     let mut drawn = Vec::new();
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -13,6 +13,9 @@
 /// Time to heed a purge, as the settings tell.
 pub const PURGE_GRACE: Duration = Duration::from_millis(1_000);
 
+/// What the list service has to tell counts as told after this long, as the operator's file has it.
+pub const TOLD_AFTER: Duration = Duration::from_secs(7);
+
 /// A breach of a rule.
 #[derive(Debug, Clone, serde::Serialize)]
 pub struct Breach {
@@ -24,6 +27,22 @@
     pub what: String,
 }
 
+/// What nodes counted in a second, of all of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize)]
+pub struct Tally {
+    /// Connections that came, those turned away, and the most that one node held.
+    pub opened: u32,
+    pub turned_away: u32,
+    pub held_most: u32,
+    /// Pulls, those at cold nodes, and those of them that named no source.
+    pub pulls: u32,
+    pub cold_pulls: u32,
+    pub cold_looks: u32,
+    /// Fills asked of parents and of the origin.
+    pub parent_fills: u32,
+    pub origin_fills: u32,
+}
+
 /// A pull as it came to a node, or a download as its client saw it.
 #[derive(Debug, Default)]
 struct Truth {
@@ -36,6 +55,7 @@
     /// When nodes were told to drain.
     drained: HashMap<String, Instant>,
     breaches: Vec<Breach>,
+    seconds: Vec<Tally>,
     /// Bytes that the origin gave out, and pulls that came to nodes.
     origin_bytes: u64,
     all_pulls: u64,
@@ -86,6 +106,21 @@
         self.truth().breaches.clone()
     }
 
+    /// Counts something in the present second.
+    pub fn count(&self, count: impl FnOnce(&mut Tally)) {
+        let second = self.secs() as usize;
+        let seconds = &mut self.truth().seconds;
+        if seconds.len() <= second {
+            seconds.resize(second + 1, Tally::default());
+        }
+        count(&mut seconds[second]);
+    }
+
+    /// What was counted, second by second.
+    pub fn tallies(&self) -> Vec<Tally> {
+        self.truth().seconds.clone()
+    }
+
     // Pulls.
 
     /// A pull has come to a node, and names a source.
@@ -141,14 +176,28 @@
 
     // The list and purges.
 
+    /// When what the list service has to tell now counts as told: at once, unless a fault keeps dispatchers from
+    /// hearing it; then so long after the fault as the operators say it may take.
+    pub fn told(&self) -> Instant {
+        let now = self.secs();
+        let deaf = |span: &[f64; 2]| span[0] <= now + 0.1 && now < span[1] + TOLD_AFTER.as_secs_f64();
+        let ends = self.scenario.unheard().into_iter().filter(deaf).map(|span| span[1]).fold(0.0, f64::max);
+        match ends > 0.0 {
+            true => (self.start() + Duration::from_secs_f64(ends)).max(Instant::now()) + TOLD_AFTER,
+            false => Instant::now(),
+        }
+    }
+
     /// A node is told to drain.
     pub fn drain(&self, node: &str) {
-        self.truth().drained.insert(node.to_string(), Instant::now());
+        let told = self.told();
+        self.truth().drained.insert(node.to_string(), told);
     }
 
-    /// Everything is purged; dispatchers are told now.
+    /// Everything is purged.
     pub fn purge(&self) {
-        self.truth().purges.push(Instant::now());
+        let told = self.told();
+        self.truth().purges.push(told);
     }
 
     /// The version that a copy made now has.
