Simulate calls for lists to 10,000 dispatchers; learn of a crowd larger than told

Need: what the rig shows for 300 must hold for thousands, and for settings that tell a third of the dispatchers there are. `copperroute-lab calls` runs the cores of src/calls.rs against a service that falls at 1.5 times what it bears.

Seen: told a third, the service fell 13 times and nobody stayed current, as a stream that had been steady began with a round for each again (Calls::ended, heard: both reset what calls in vain had taught). Now the rounds passed over outlast a stream's end, for ten minutes of steady hearing, and the first call in vain passes one over.

Seeds that follow one another are mixed first: their second draws were alike.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod groups;
 mod links;
+mod many;
 mod nodes;
 mod pace;
 mod play;
@@ -73,6 +74,24 @@
         #[arg(long, default_value_t = 77)]
         net: u8,
     },
+    /// Simulates when thousands of dispatchers call the list service: a table.
+    Calls {
+        /// How many dispatchers, one row of each kind for each.
+        #[arg(long, value_delimiter = ',', default_value = "30,300,1000,3000,10000")]
+        dispatchers: Vec<u32>,
+        /// For how many seconds the service is away.
+        #[arg(long, default_value_t = 60.0)]
+        away: f64,
+        /// Locations that they are in.
+        #[arg(long, default_value_t = 10)]
+        zones: u32,
+        /// How many the settings tell of, beside those there are.
+        #[arg(long, default_value_t = 1.0)]
+        told: f64,
+        /// The worst of so many seeds.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
@@ -146,6 +165,10 @@
                 [Some(own.as_path()), other.as_deref()].into_iter().flatten().collect();
             on_threads(3, pace::compare(&programs, net, &out, operator.as_deref(), rounds.max(1)))
         }
+        Command::Calls { dispatchers, away, zones, told, seeds } => {
+            print!("{}", many::table(&dispatchers, away, zones.max(1), told, seeds.max(1)));
+            Ok(())
+        }
         Command::List { folder } => list(&folder),
         Command::Schema => {
             println!("{:#}", Scenario::schema());
--- /dev/null
+++ b/lab/src/many.rs
@@ -0,0 +1,267 @@
+//! The decisions on calls of thousands of dispatchers, simulated: the same core as in the program, a list service that
+//! falls over, and the program's earlier back-off beside it.
+
+use copperroute::calls::{CallSettings, Calls};
+use copperroute::chance::Chance;
+use copperroute::interface::Nanos;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+const SECOND: Nanos = Nanos(1_000_000_000);
+/// A Unix time to begin at.
+const UNIX: u64 = 1_764_576_000_000_000_000;
+/// The earlier back-off: this long, and up to as long again.
+const EARLIER_S: f64 = 0.1;
+
+/// Who decides when to call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum How {
+    /// The core, told what the service bears.
+    Told,
+    /// The core, told nothing of it.
+    Untold,
+    /// As before the core: at once, then after 0.1 to 0.2 s for good.
+    Earlier,
+}
+
+/// What is simulated.
+#[derive(Debug, Clone, Copy)]
+pub struct Case {
+    /// How many dispatchers, in how many locations.
+    pub dispatchers: u32,
+    pub zones: u32,
+    /// How many the settings tell of, beside those there are.
+    pub told_share: f64,
+    /// For how long the service is away.
+    pub away: Nanos,
+    /// It falls over this many times what it bears in a second, and rises under the other.
+    pub falls_at: f64,
+    pub rises_at: f64,
+    pub seed: u64,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outcome {
+    /// Calls a second that the service bears.
+    pub bears: f64,
+    /// The most calls in a second, beside that: at the start, and from the outage on.
+    pub peaks: [f64; 2],
+    pub falls: u32,
+    /// Calls of one dispatcher, on average, while the service was away.
+    pub in_vain: f64,
+    /// Seconds until all had heard, from the start and from the return.
+    pub current_s: [Option<f64>; 2],
+}
+
+enum Caller {
+    Core(Box<Calls>),
+    Earlier(Chance),
+}
+
+impl Caller {
+    fn ended(&mut self, now: Nanos) -> Nanos {
+        match self {
+            Caller::Core(calls) => calls.ended(now).0,
+            Caller::Earlier(chance) => now.after(Nanos::from_secs(EARLIER_S * (1.0 + chance.share()))),
+        }
+    }
+}
+
+/// The service's side.
+struct Service {
+    bears: f64,
+    recent: VecDeque<Nanos>,
+    fallen: bool,
+}
+
+/// All start within a second, the service goes away 20 s later, for a time, and is back for 60 s.
+pub fn simulate(case: &Case, how: How) -> Outcome {
+    let count = case.dispatchers;
+    // As many as can all be heard in time, with a little to spare: 60 for 300.
+    let bears = f64::from(count) / 5.0;
+    let leaves = Nanos(20 * SECOND.0);
+    let returns = leaves.after(case.away);
+    let until = returns.after(Nanos(60 * SECOND.0));
+    let mut chance = Chance::new(case.seed);
+    let mut due: BinaryHeap<Reverse<(Nanos, u32)>> = BinaryHeap::new();
+    let mut callers: Vec<Caller> = (0..count)
+        .map(|at| {
+            let starts = Nanos::from_secs(chance.share());
+            let seed = case.seed.wrapping_mul(1_000_003) + u64::from(at);
+            let zone = f64::from(at % case.zones);
+            let zones = f64::from(case.zones);
+            let calls_per_s = (how == How::Told).then_some(bears);
+            let settings = CallSettings {
+                dispatchers: ((f64::from(count) * case.told_share) as u32).max(1),
+                calls_per_s,
+                told_after: Nanos(7 * SECOND.0),
+                part: [zone / zones, (zone + 1.0) / zones],
+            };
+            let (caller, at_first) = match how {
+                How::Earlier => (Caller::Earlier(Chance::new(seed)), starts),
+                _ => {
+                    let mut calls = Calls::new(settings, seed, UNIX);
+                    let at_first = calls.started(starts, true);
+                    (Caller::Core(Box::new(calls)), at_first)
+                }
+            };
+            due.push(Reverse((at_first, at)));
+            caller
+        })
+        .collect();
+    let mut service = Service { bears, recent: VecDeque::new(), fallen: false };
+    let (mut peaks, mut falls, mut in_vain) = ([0_usize; 2], 0, 0_u64);
+    let mut follows: Vec<Option<Nanos>> = vec![None; count as usize];
+    let mut current: [Option<Nanos>; 2] = [None; 2];
+    let mut heard = 0_u32;
+    // Everybody whose stream has ended, at one moment.
+    let end_all = |now: Nanos,
+                   callers: &mut Vec<Caller>,
+                   follows: &mut Vec<Option<Nanos>>,
+                   due: &mut BinaryHeap<Reverse<(Nanos, u32)>>| {
+        for at in 0..count {
+            if let Some(since) = follows[at as usize].take() {
+                let caller = &mut callers[at as usize];
+                if let Caller::Core(calls) = caller {
+                    // Each second's line was heard until now.
+                    calls.heard(Nanos(now.0.max(since.0 + 1) - 1));
+                }
+                due.push(Reverse((caller.ended(now), at)));
+            }
+        }
+    };
+    let mut gone = false;
+    // Somebody has to be there when it leaves, though all follow.
+    due.push(Reverse((leaves, u32::MAX)));
+    while let Some(Reverse((now, at))) = due.pop() {
+        if now > until {
+            break;
+        }
+        if !gone && now >= leaves {
+            gone = true;
+            heard = 0;
+            // Whose turn it was is put back, and comes after the end of the others' streams.
+            end_all(leaves, &mut callers, &mut follows, &mut due);
+            due.push(Reverse((now, at)));
+            continue;
+        }
+        if at == u32::MAX {
+            continue;
+        }
+        service.recent.push_back(now);
+        while service.recent.front().is_some_and(|first| now.since(*first) >= SECOND) {
+            service.recent.pop_front();
+        }
+        let rate = service.recent.len();
+        let phase = usize::from(now >= leaves);
+        peaks[phase] = peaks[phase].max(rate);
+        let caller = &mut callers[at as usize];
+        if let Caller::Core(calls) = caller {
+            calls.called(now);
+        }
+        if rate as f64 > service.bears * case.falls_at && !service.fallen {
+            service.fallen = true;
+            falls += 1;
+            heard = 0;
+            end_all(now, &mut callers, &mut follows, &mut due);
+        } else if service.fallen && (rate as f64) < service.bears * case.rises_at {
+            service.fallen = false;
+        }
+        let away = now >= leaves && now < returns;
+        let caller = &mut callers[at as usize];
+        if service.fallen || away {
+            in_vain += u64::from(away);
+            due.push(Reverse((caller.ended(now), at)));
+            continue;
+        }
+        if let Caller::Core(calls) = caller {
+            calls.heard(now);
+        }
+        follows[at as usize] = Some(now);
+        heard += 1;
+        if heard == count {
+            current[phase] = current[phase].or(Some(now));
+        }
+    }
+    Outcome {
+        bears,
+        peaks: peaks.map(|peak| peak as f64 / bears),
+        falls,
+        in_vain: in_vain as f64 / f64::from(count),
+        current_s: [current[0].map(Nanos::secs), current[1].map(|at| at.since(returns).secs())],
+    }
+}
+
+/// A table over numbers of dispatchers, the worst of several seeds.
+pub fn table(counts: &[u32], away_s: f64, zones: u32, told_share: f64, seeds: u64) -> String {
+    let mut text = String::from(
+        "dispatchers | calls a second borne | decided by | worst second at the start, from the outage on (times that) | falls | calls of each while away | all current after the start, after the return (s)\n",
+    );
+    for count in counts {
+        for (how, name) in
+            [(How::Told, "core, told"), (How::Untold, "core, untold"), (How::Earlier, "as before")]
+        {
+            let case = |seed| Case {
+                dispatchers: *count,
+                zones,
+                told_share,
+                away: Nanos::from_secs(away_s),
+                falls_at: 1.5,
+                rises_at: 0.95,
+                seed,
+            };
+            let outcomes: Vec<_> = (1..=seeds).map(|seed| simulate(&case(seed), how)).collect();
+            let worst = |of: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(of).fold(0.0, f64::max);
+            let current = |phase: usize| {
+                let worst = worst(&|o| o.current_s[phase].unwrap_or(f64::INFINITY));
+                if worst.is_finite() { format!("{worst:.1}") } else { "never".into() }
+            };
+            text += &format!(
+                "{count} | {:.0} | {name} | {:.2}, {:.2} | {:.0} | {:.1} | {}, {}\n",
+                outcomes[0].bears,
+                worst(&|o| o.peaks[0]),
+                worst(&|o| o.peaks[1]),
+                worst(&|o| f64::from(o.falls)),
+                worst(&|o| o.in_vain),
+                current(0),
+                current(1),
+            );
+        }
+    }
+    text += &format!("bytes that one dispatcher keeps for it: {}\n", size_of::<Calls>());
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn case(dispatchers: u32, seed: u64) -> Case {
+        let away = Nanos(60 * SECOND.0);
+        Case { dispatchers, zones: 10, told_share: 1.0, away, falls_at: 1.5, rises_at: 0.95, seed }
+    }
+
+    #[test]
+    fn however_many_there_are_the_service_stands_and_all_are_current() {
+        for (dispatchers, seed) in [(30, 1), (300, 2), (3_000, 3), (10_000, 4)] {
+            let outcome = simulate(&case(dispatchers, seed), How::Told);
+            let said = format!("{dispatchers}, seed {seed}: {outcome:?}");
+            assert_eq!(outcome.falls, 0, "{said}");
+            assert!(outcome.peaks.iter().all(|peak| *peak <= 1.5), "{said}");
+            assert!(outcome.current_s.iter().all(|at| at.is_some_and(|at| at <= 7.5)), "{said}");
+        }
+    }
+
+    #[test]
+    fn the_earlier_back_off_pushes_it_over_for_good() {
+        let outcome = simulate(&case(300, 2), How::Earlier);
+        assert!(outcome.falls > 0 && outcome.current_s == [None, None], "{outcome:?}");
+    }
+
+    #[test]
+    fn told_of_a_third_of_them_it_comes_back_all_the_same() {
+        let outcome = simulate(&Case { told_share: 1.0 / 3.0, ..case(300, 2) }, How::Told);
+        assert!(outcome.current_s[1].is_some_and(|at| at <= 20.0), "{outcome:?}");
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -12,7 +12,7 @@
 //! (measured, docs/cold-start.md).
 
 use crate::chance::Chance;
-use crate::interface::Nanos;
+use crate::interface::{Nanos, mix};
 
 /// The part of what the service bears that rounds are laid out for: who calls at random comes unevenly.
 const LOAD: f64 = 0.8;
@@ -22,6 +22,8 @@
 const SILENT_AFTER: Nanos = Nanos(2_000_000_000);
 /// A stream that told something for so long is steady. One that ends sooner is a call more that brought nothing.
 const STEADY: Nanos = Nanos(2_000_000_000);
+/// Rounds that are passed over since calls were in vain are passed over until a stream was steady for so long.
+const LEARNT_FOR: Nanos = Nanos(600_000_000_000);
 /// Rounds where nothing is told of what the service bears: the first, and the longest.
 const BLIND: Nanos = Nanos(200_000_000);
 const BLIND_MOST: Nanos = Nanos(3_200_000_000);
@@ -99,7 +101,7 @@
     pub fn new(s: CallSettings, seed: u64, unix_zero: u64) -> Self {
         let mut calls = Calls {
             s,
-            chance: Chance::new(seed),
+            chance: Chance::new(mix(seed)),
             unix_zero,
             line: Line::Waiting(Nanos::ZERO),
             place: 0.0,
@@ -109,7 +111,7 @@
             heard: Nanos::ZERO,
             lost: None,
         };
-        calls.draw();
+        calls.draw(1);
         calls
     }
 
@@ -131,11 +133,16 @@
         allowed
     }
 
-    /// From now on it calls in each round, at another place.
-    fn draw(&mut self) {
+    /// From now on it calls in one round of so many, another one, at another place.
+    fn draw(&mut self, one_in: u64) {
         let [from, to] = self.s.part;
         self.place = from + (to - from) * self.chance.share();
-        (self.one_in, self.which) = (1, 0);
+        self.pass_over(one_in);
+    }
+
+    /// From now on it calls in one round of so many, at the same place.
+    fn pass_over(&mut self, one_in: u64) {
+        (self.one_in, self.which) = (one_in, (self.chance.share() * one_in as f64) as u64);
     }
 
     /// The first moment after `now` that has the own place in a round of its own.
@@ -166,7 +173,7 @@
     /// The service is to be called elsewhere: all dispatchers hear that at one moment.
     pub fn moved(&mut self, now: Nanos) -> Nanos {
         self.in_vain = 0;
-        self.draw();
+        self.draw(self.one_in);
         let at = if self.s.calls_per_s.is_some() { self.next(now) } else { now };
         self.move_to(Line::Waiting(at));
         at
@@ -176,7 +183,7 @@
     pub fn told(&mut self, s: CallSettings) {
         if std::mem::replace(&mut self.s, s) != s {
             self.in_vain = 0;
-            self.draw();
+            self.draw(1);
         }
     }
 
@@ -202,8 +209,9 @@
         if now.since(at) < STEADY {
             return None;
         }
-        if std::mem::take(&mut self.in_vain) > 0 {
-            self.draw();
+        self.in_vain = 0;
+        if self.one_in > 1 && now.since(at) > LEARNT_FOR {
+            self.draw(1);
         }
         self.lost.take().map(|since| now.since(since))
     }
@@ -219,12 +227,16 @@
         self.in_vain = if steady { 0 } else { self.in_vain.saturating_add(1) };
         let (round, longest) = (self.s.round().0.max(1), self.s.longest().0);
         let most = (longest / round).max(1);
-        let one_in = (1 << self.in_vain.saturating_sub(1).min(10)).min(most);
+        // What was learnt of a crowd that is larger than told outlasts its end, or all that follow would come at once.
+        let one_in = match self.s.calls_per_s {
+            Some(_) => (1 << self.in_vain.min(10)).max(self.one_in).min(most),
+            None => (1 << self.in_vain.saturating_sub(1).min(10)).min(most),
+        };
         if steady {
             // It may have ended for all at one moment.
-            self.draw();
+            self.draw(one_in);
         } else if one_in != self.one_in {
-            (self.one_in, self.which) = (one_in, (self.chance.share() * one_in as f64) as u64);
+            self.pass_over(one_in);
         }
         let at = match self.s.calls_per_s {
             Some(_) => self.next(now),
