--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,6 +9,7 @@
 use crate::interface::*;
 use crate::purges::Purges;
 use crate::ring::Ring;
+use crate::spare::Origin;
 use crate::state::*;
 use crate::storm::{Admission, Storm, Supply};
 
@@ -42,10 +43,7 @@
 const COLD_LOAD: f64 = 0.5; // of what the rule bears, and never over what the node can do
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
 const FADES: Nanos = Nanos(4_000_000_000); // halves the first byte of a parent that is not asked
-const FETCH_LATE: f64 = 0.4; // of the target time, and
-const FETCH_SLOW: f64 = 3.0; // times the usual: an origin slower than both is being overrun
-const FETCH_USUAL_S: f64 = 0.1; // until seen
-const FETCH_FLOOR: f64 = 0.1;
+const FILL_USUAL_S: f64 = 0.1; // until seen
 const SPREAD: f64 = 3.0; // standard deviations of own fills that the first limit leaves room for
 const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.1;
@@ -64,9 +62,8 @@
     shadows: Shadows,
     fills: Fills, // kept fills by their ratio
     link: Link,
-    fetch_usual_s: f64,
     fill_usual_s: f64, // of fills that worked, from send to end
-    fetches: Ring<2>,  // fetches from the origin that came in time, and that were late or refused
+    origin: Origin,    // how far it is spared
     further: Ring<2>,  // further pulls that worked, that failed
     purges: Purges,
     storm: Option<Storm>, // off unless the operators tell of storms
@@ -85,9 +82,8 @@
             shadows: Shadows::default(),
             fills: Fills::new(FILLS_SEEN, BUCKETS),
             link: Link::new(JUDGED_OVER, BUCKETS),
-            fetch_usual_s: FETCH_USUAL_S,
-            fill_usual_s: FETCH_USUAL_S,
-            fetches: Ring::new(JUDGED_OVER, BUCKETS),
+            fill_usual_s: FILL_USUAL_S,
+            origin: Origin::new(),
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
             storm: s
@@ -160,7 +156,7 @@
         let caches = [now, later].map(|at| self.nodes.caches().map(|n| bears(n, at)).sum::<f64>() / z);
         let parents = self.s.direct && self.nodes.parents().any(|n| !n.on_trial);
         let past = if parents { self.link.limit.min(self.link.part.max(1.0)) } else { 0.0 };
-        let fetches = self.fetch_share(now) / f64::from(self.s.dispatchers.max(1));
+        let fetches = self.origin.share(now) / f64::from(self.s.dispatchers.max(1));
         let origin = self.nodes.origin().and_then(|id| self.nodes.get(id));
         let origin = [now, later].map(|at| origin.map_or(0.0, |n| bears(n, at) * fetches));
         Supply { caches: caches.map(|sum| sum.max(past)), past: caches[0] <= past, origin }
@@ -188,7 +184,7 @@
         };
         let Some((node, source)) = chosen else { return self.give_up(now, id, out) };
         self.serial = self.serial % (LOOK_AGAIN - 1) + 1;
-        let sent = Sent { node, source, at: now, serial: self.serial, out: true, left: true, reached: true };
+        let sent = Sent::new(node, source, now, self.serial);
         let by_parent = !sent.is_look() && self.nodes.is_parent(source);
         let by_cache = !sent.is_look() && !self.nodes.from_above(&sent);
         let asked_of = if sent.is_look() { dl.keep.hit_rank } else { dl.keep.fill_rank };
@@ -208,7 +204,7 @@
         self.link.out += if sent.is_look() { 0.0 } else { 1.0 };
         self.move_to(now, id, Stage::Pulling, out);
         if let Some(dl) = self.dls.get_mut(id.0) {
-            dl.pulls.push(sent);
+            dl.pulls.push(Sent { held_only: pull.held_only, ..sent });
         }
         out.pull(id, &pull);
         let look = Nanos::from_secs(dl.work_s * OVERDUE_STRETCH).after(OVERDUE_SLACK);
@@ -367,7 +363,7 @@
     /// cause; harms an object that only fills would make a hit.
     fn too_full(&self, now: Nanos, dl: &Dl, node: NodeId) -> bool {
         let load = self.caches(now, dl).iter().find(|c| c.1 == node).map_or(1.0, |c| c.2.max(1.0));
-        FILL_WEIGHT * dl.work_s * load + self.fetch_usual_s > IN_TIME * self.target_s(dl)
+        FILL_WEIGHT * dl.work_s * load + self.origin.usual_s() > IN_TIME * self.target_s(dl)
     }
 
     /// The first in hash order; the next takes over where it is not open, full, cold, or was tried.
@@ -425,7 +421,8 @@
         // A parent may be quick to begin and slow to send: what its fills take over the leeway counts as part
         // of its first byte. It fades while the parent is not asked, so that one is tried again. Of a slow
         // origin's time only the usual is the parent's: else objects would wander between parents.
-        let own = if end.remark == Remark::FilledFromCopy { waited } else { waited.min(self.fetch_usual_s) };
+        let own =
+            if end.remark == Remark::FilledFromCopy { waited } else { waited.min(self.origin.usual_s()) };
         if let Some(n) = self.nodes.get_mut(sent.source) {
             n.saw_first_byte(now, own + (took - fair).max(0.0), SMOOTH, FADES);
         }
@@ -464,7 +461,7 @@
         let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, |n| n.first_byte_s(now, FADES));
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
-        let few = |n: &Node| f64::from(n.out) < self.fetch_share(now) * self.link.limit;
+        let few = |n: &Node| f64::from(n.out) < self.origin.share(now) * self.link.limit;
         let origin =
             self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
@@ -486,7 +483,7 @@
         }
         // What MC3 ranks high is fetched first, so that hits come back; rank 4 stands for uncacheable.
         let power = [2.0, 1.0, 0.5, 0.25, 0.0][usize::from(rank.min(4))];
-        self.chance.share() < self.fetch_share(now).powf(power)
+        self.chance.share() < self.origin.share(now).powf(power)
     }
 
     /// An uncacheable download runs at the origin: straight, or through a parent if that fails.
@@ -679,13 +676,16 @@
         use Outcome::*;
         self.nodes.count_out(sent, -1);
         let origin = self.nodes.origin();
+        if sent.overdue && matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
+            self.origin.came(now);
+        }
         let from_source = match end.remark {
             Remark::SourceRefused | Remark::SourceLost => Some(sent.source),
             Remark::OriginFailed => origin,
             _ => None,
         };
         if end.remark == Remark::OriginFailed || (end.outcome == Refused && Some(sent.source) == origin) {
-            self.fetches.add(now, 1, 1.0);
+            self.origin.refused(now);
         }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
         let mean = self.row(&dl.d).mean_work_s;
@@ -705,10 +705,7 @@
                     if let Some(origin) = origin.filter(|_| end.remark == Remark::FilledFromOrigin) {
                         self.mark(now, origin, true, false, out);
                         let waited_s = end.waited.unwrap_or_default().secs();
-                        let late =
-                            waited_s > (FETCH_LATE * self.target_s(dl)).max(FETCH_SLOW * self.fetch_usual_s);
-                        self.fetch_usual_s += 0.01 * (waited_s - self.fetch_usual_s).min(self.fetch_usual_s);
-                        self.fetches.add(now, usize::from(late), 1.0);
+                        self.origin.answered(now, waited_s, self.target_s(dl));
                     }
                 }
             }
@@ -724,13 +721,6 @@
         }
     }
 
-    /// The part of fills that may go by way of the origin. One that is too slow, or turns fetches away, is
-    /// asked for fewer; by shares, as of hundreds one sees few, and while they are recent.
-    fn fetch_share(&self, now: Nanos) -> f64 {
-        let [good, late] = self.fetches.sums(now);
-        1.0 - (1.0 - FETCH_FLOOR) * late / (good + late + 1.0)
-    }
-
     /// Counts for or against a node; sets it aside when recent pulls failed too often, whatever the cause.
     fn mark(&mut self, now: Nanos, id: NodeId, worked: bool, died: bool, out: &mut impl Outbox) {
         let Some(n) = self.nodes.get_mut(id) else { return };
@@ -772,7 +762,13 @@
         if token as u32 == LOOK_AGAIN && waits {
             return self.pull(now, dl.d.dl, out);
         }
-        let Some(sent) = dl.pulls.iter().find(|p| p.out && p.serial == token as u32).copied() else { return };
+        let found = dl.pulls.iter().position(|p| p.out && p.serial == token as u32);
+        let Some((number, sent)) = found.map(|at| (at, dl.pulls[at])) else { return };
+        let at_origin = self.nodes.is_origin(sent.node) || self.nodes.from_above(&sent);
+        if at_origin && !sent.held_only {
+            self.origin.overdue(now);
+            self.dls.get_mut((token >> 32) as u32).into_iter().for_each(|dl| dl.pulls[number].overdue = true);
+        }
         let heard = |id: NodeId| self.nodes.get(id).is_none_or(|n| n.heard >= sent.at || n.aside_until > now);
         // Where the node answers, what is overdue hangs further up: at the source, or at the origin. There it
         // counts only where nothing worked lately: slow is not silent.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod purges;
 pub mod recent;
 pub mod ring;
+pub mod spare;
 pub mod state;
 pub mod storm;
 pub mod wheel;
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,9 +90,19 @@
     pub left: bool,
     /// It came to the node, as far as is known.
     pub reached: bool,
+    /// The source gives only what it holds.
+    pub held_only: bool,
+    /// It should have ended before.
+    pub overdue: bool,
 }
 
 impl Sent {
+    /// A pull that goes out now.
+    pub fn new(node: NodeId, source: NodeId, at: Nanos, serial: u32) -> Self {
+        let (out, left, reached, held_only, overdue) = (true, true, true, false, false);
+        Sent { node, source, at, serial, out, left, reached, held_only, overdue }
+    }
+
     /// Whether it could only be answered from what the node holds.
     pub fn is_look(&self) -> bool {
         self.node == self.source
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -4,6 +4,7 @@
 use copperroute::chance::Chance;
 use copperroute::cold::{Part, one_place};
 use copperroute::interface::*;
+use copperroute::spare::Origin;
 use copperroute::state::TypeRow;
 use expect_test::expect;
 use proptest::prelude::*;
@@ -121,3 +122,52 @@
     row.saw(Some(0.7));
     assert!((row.mean_work_s - 0.21).abs() < 1e-3, "{}", row.mean_work_s);
 }
+
+/// Six fills hang, and are looked at when they are overdue or not; how many of thirty that follow, each of which a parent
+/// gives at once, might have been fetched from the origin.
+fn fetched_after_fills_hung(look: bool) -> usize {
+    let (mut module, mut trace) = start(settings());
+    for dl in 0..6 {
+        ask(&mut module, ms(10_000), dl, 0, dl + 1, &mut trace);
+        miss(&mut module, ms(10_001), dl, &mut trace);
+    }
+    if look {
+        for (_, token) in std::mem::take(&mut trace.1) {
+            module.timer(ms(11_000), token, &mut trace);
+        }
+    }
+    trace.0.clear();
+    for dl in 6..36 {
+        let now = 11_000 + u64::from(dl) * 10;
+        ask(&mut module, ms(now), dl, 0, dl + 1, &mut trace);
+        miss(&mut module, ms(now + 1), dl, &mut trace);
+        let filled = end(Outcome::Fulfilled, Remark::FilledFromCopy);
+        module.pull_ended(ms(now + 5), DlId(dl), 1, &filled, &mut trace);
+    }
+    let fills = trace.0.lines().filter(|line| line.contains("from 3") || line.contains("from 4"));
+    fills.filter(|line| !line.contains("held-only")).count()
+}
+
+#[test]
+fn fills_that_hang_spare_the_origin_before_they_end() {
+    let [waited, looked] = [false, true].map(fetched_after_fills_hung);
+    assert!(waited >= 10 && looked * 3 <= waited, "{waited} without a look, {looked} with one");
+}
+
+#[test]
+fn an_overdue_fill_that_comes_after_all_counts_as_what_it_was() {
+    let mut origin = Origin::new();
+    assert_eq!(origin.share(ms(1_000)), 1.0);
+    (0..4).for_each(|_| origin.overdue(ms(1_000)));
+    let overdue = origin.share(ms(1_100));
+    assert!(overdue < 0.3, "{overdue}");
+    for _ in 0..4 {
+        origin.came(ms(1_200));
+        origin.answered(ms(1_200), 0.05, 0.8);
+    }
+    assert_eq!(origin.share(ms(1_200)), 1.0);
+    // What was late is forgotten after two seconds, what came since is not taken for less than nothing.
+    origin.overdue(ms(1_300));
+    origin.came(ms(3_900));
+    assert_eq!(origin.share(ms(4_000)), 1.0);
+}
