--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 SCENARIO ?= lab/scenarios/trunk-outage.json
 
-.PHONY: build test lint run check lab bench
+.PHONY: build test lint run check lab cold bench
 
 build:
 	cargo build --release
@@ -26,6 +26,11 @@
 lab: build
 	target/release/copperroute-lab run $(SCENARIO)
 
+# Plays every scenario of cold starts and of the list service; ends at the first that fails.
+cold: build
+	for file in lab/scenarios/lists-*.json lab/scenarios/cold-*.json; do \
+		target/release/copperroute-lab run $$file --out target/lab/$$(basename $$file .json) || exit 1; done
+
 # Times the structures of the decisions beside plain ones.
 bench:
 	cargo bench --bench storms
