--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 use crate::chance::Chance;
 use crate::cold::one_place;
 use crate::interface::*;
+use crate::link::Link;
 use crate::purges::Purges;
 use crate::ring::Ring;
 use crate::spare::Origin;
@@ -44,8 +45,6 @@
 const FILL_LEEWAY: f64 = 0.5; // fills that use up more of what the target time leaves crowd the link
 const FADES: Nanos = Nanos(4_000_000_000); // halves the first byte of a parent that is not asked
 const FILL_USUAL_S: f64 = 0.1; // until seen
-const SPREAD: f64 = 3.0; // standard deviations of own fills that the first limit leaves room for
-const FILL_FLOOR: f64 = 0.3; // of the first limit: fills may be slow for reasons of their own
 const COME_BACK_S: f64 = 0.1;
 const FURTHER_FLOOR: f64 = 0.1;
 const SMOOTH: f64 = 0.2;
@@ -81,7 +80,7 @@
             dls: Slots::default(),
             shadows: Shadows::default(),
             fills: Fills::new(FILLS_SEEN, BUCKETS),
-            link: Link::new(JUDGED_OVER, BUCKETS),
+            link: Link::default(),
             fill_usual_s: FILL_USUAL_S,
             origin: Origin::new(),
             further: Ring::new(JUDGED_OVER, BUCKETS),
@@ -155,7 +154,7 @@
         let z = f64::from(self.s.zone_dispatchers.max(1));
         let caches = [now, later].map(|at| self.nodes.caches().map(|n| bears(n, at)).sum::<f64>() / z);
         let parents = self.s.direct && self.nodes.parents().any(|n| !n.on_trial);
-        let past = if parents { self.link.limit.min(self.link.part.max(1.0)) } else { 0.0 };
+        let past = if parents { self.link.bears() } else { 0.0 };
         let fetches = self.origin.share(now) / f64::from(self.s.dispatchers.max(1));
         let origin = self.nodes.origin().and_then(|id| self.nodes.get(id));
         let origin = [now, later].map(|at| origin.map_or(0.0, |n| bears(n, at) * fetches));
@@ -201,7 +200,9 @@
             renew: rank >= 2 && self.row(&dl.d).told.fresh_for.is_some(),
         };
         self.nodes.count_out(&sent, 1);
-        self.link.out += if sent.is_look() { 0.0 } else { 1.0 };
+        if !sent.is_look() {
+            self.link.begun();
+        }
         self.move_to(now, id, Stage::Pulling, out);
         if let Some(dl) = self.dls.get_mut(id.0) {
             dl.pulls.push(Sent { held_only: pull.held_only, ..sent });
@@ -387,26 +388,15 @@
         chosen.filter(|c| c.2.max(1.0) < most).map(|c| c.1)
     }
 
-    /// The location's link divides itself among all fills, so one too many makes all of them late. Each
-    /// dispatcher keeps its own fills under a limit that follows how slow they run; what is large for its
-    /// type is let go first. Guards against scans, cold caches, slow parents, huge objects and full caches.
+    /// Whether the location's link has room for a fill of this.
     fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
-        if self.link.limit == 0.0 {
-            // Several ask at random: a small part is at times run over, at times not used.
-            let others = 1.0 - 1.0 / f64::from(self.s.zone_dispatchers.max(1));
-            self.link.limit = self.link.part + SPREAD * (self.link.part * others).sqrt();
-        }
-        let size = (dl.work_s / self.row(&dl.d).mean_work_s).clamp(1.0, 4.0).sqrt();
-        // What waits for its first byte is not on the link.
-        let [took, _, waited] = self.link.pace.sums(now);
-        let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
-        // Chance stands for the part of a download that the limit has room for: it may be under one.
-        (self.link.out * on_link + self.chance.share()) * size < self.link.limit
+        let (size, draw) = (dl.work_s / self.row(&dl.d).mean_work_s, self.chance.share());
+        self.link.has_room(now, self.s.zone_dispatchers, size, draw)
     }
 
-    /// Follows how slow fills run: down when they take too long for their size, up when the limit binds.
+    /// Link and source hear how slowly a fill ran.
     fn fill_ended(&mut self, now: Nanos, dl: &Dl, sent: &Sent, end: &PullEnd) {
-        self.link.out -= 1.0;
+        self.link.ended();
         if end.outcome == Outcome::CalledOff {
             return;
         }
@@ -429,12 +419,6 @@
         if end.outcome == Outcome::Fulfilled {
             self.fill_usual_s += SMOOTH * (end.took.secs() - self.fill_usual_s);
         }
-        let [took, fair, _] = self.link.pace.sums(now);
-        if took > fair {
-            self.link.limit = (self.link.limit * 0.97).max(FILL_FLOOR * self.link.part);
-        } else if self.link.out > 0.7 * self.link.limit {
-            self.link.limit += 0.05;
-        }
     }
 
     /// Where caches may fill from other locations and the origin is spared, so that parents give only what
@@ -461,7 +445,7 @@
         let first_byte = |id: NodeId| self.nodes.get(id).map_or(0.0, |n| n.first_byte_s(now, FADES));
         // The origin stands in for a parent that is not open. As all locations turn to it at once, uncached
         // and unjoined, each dispatcher asks it for a few at a time only.
-        let few = |n: &Node| f64::from(n.out) < self.origin.share(now) * self.link.limit;
+        let few = |n: &Node| f64::from(n.out) < self.origin.share(now) * self.link.limit();
         let origin =
             self.nodes.origin().filter(|id| parents.len() < 2 && self.nodes.get(*id).is_some_and(few));
         let two = parents.iter().take(2).map(|(_, id)| *id).chain(origin);
@@ -803,7 +787,7 @@
         let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
         let judged = 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>();
         let part = if told > 0.0 { told / pace } else { judged } / f64::from(self.s.zone_dispatchers.max(1));
-        self.link.part = self.link.part.max(part);
+        self.link.listed(part);
     }
 
     /// Pulls and fills believed to be out at a node.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod interface;
 pub mod ledger;
+pub mod link;
 pub mod purges;
 pub mod recent;
 pub mod ring;
--- a/src/state.rs
+++ b/src/state.rs
@@ -278,33 +278,6 @@
     }
 }
 
-/// The location's link for fills, as one dispatcher sees it.
-#[derive(Debug)]
-pub struct Link {
-    /// Time own fills took to send, what is fair for that, and how long they waited first.
-    pub pace: Ring<3>,
-    /// Own fills out.
-    pub out: f64,
-    /// How many there may be; 0 until the first.
-    pub limit: f64,
-    /// This dispatcher's part of the link, in transfers, as most caches were listed.
-    pub part: f64,
-}
-
-impl Link {
-    /// A link of which nothing was seen, judged over a window.
-    pub fn new(judged_over: Nanos, buckets: usize) -> Self {
-        Link { pace: Ring::new(judged_over, buckets), out: 0.0, limit: 0.0, part: 0.0 }
-    }
-
-    /// Counts a fill: the time it took to send, what is fair for that, and how long it waited first.
-    pub fn saw(&mut self, now: Nanos, [took, fair, waited]: [f64; 3]) {
-        for (at, secs) in [took, fair, waited].into_iter().enumerate() {
-            self.pace.add(now, at, secs);
-        }
-    }
-}
-
 /// A node and what was seen of it.
 #[derive(Debug, Clone)]
 pub struct Node {
