--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -401,6 +401,11 @@
         self.nodes.list(id, pool, self.now, &mut self.effects)
     }
 
+    /// How many objects there is a place for: those in the shadow table, and one that is in hand beside them.
+    pub fn objects_kept(&self) -> u32 {
+        self.objects.count()
+    }
+
     /// How many nodes there is a place for.
     pub fn nodes_kept(&self) -> u32 {
         self.nodes.kept()
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -113,6 +113,11 @@
         self.desk.nodes_kept()
     }
 
+    /// How many objects there is a place for.
+    pub fn objects_kept(&self) -> u32 {
+        self.desk.objects_kept()
+    }
+
     /// What is out at each node: as the decisions believe, and as it is.
     pub fn out(&self) -> Vec<(u32, u32)> {
         let nodes = (0..self.nodes_kept()).map(NodeId);
--- a/dispatcher/tests/dispatcher/common.rs
+++ b/dispatcher/tests/dispatcher/common.rs
@@ -190,6 +190,17 @@
         self.now = end;
     }
 
+    /// How many objects there is a place for.
+    pub fn objects_kept(&self) -> u32 {
+        self.reducer.objects_kept()
+    }
+
+    /// Forgets what this helper keeps of connections and ids, so that what is left is the dispatcher's.
+    pub fn forget(&mut self) {
+        self.carried.clear();
+        self.trace.clear();
+    }
+
     /// What was printed since the last call.
     pub fn take(&mut self) -> String {
         std::mem::take(&mut self.trace)
--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod copies;
+mod growth;
 mod last_list;
 mod loopback;
 mod reducer;
