Tell who a cold node can't bear to come back when the own part of it has grown

Cause: what a cold cache or parent does not bear was told to come back after 0.1 to 0.2 s, whatever the part was (COME_BACK_S in Dispatcher::move_to).

Change: Part::until says when the part has grown to a pull of that work; the advice is that time, two thirds to four thirds of it by chance, never under the old one, never over what clients heed.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -15,6 +15,9 @@
 /// nobody shall have more than a fraction of the rule's time at once.
 const BEGINS_WITH_S: f64 = 1.0;
 
+/// No wait is told that is longer.
+const LONGEST_S: f64 = 60.0;
+
 /// One dispatcher's part of one cold node.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Part {
@@ -42,6 +45,12 @@
         self.saved_s -= chance * work_s;
         chance
     }
+
+    /// How long it takes until a pull of so much work has grown again, at what the dispatcher may send a second.
+    pub fn until(&self, bearable: f64, sharers: u32, work_s: f64) -> Nanos {
+        let share = bearable / f64::from(sharers.max(1));
+        Nanos::from_secs(((work_s - self.saved_s) / share.max(1e-6)).clamp(0.0, LONGEST_S))
+    }
 }
 
 /// Of caches in a copy's order only the first cold one stays. Were each cold one asked in turn, who is let in would be
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -66,6 +66,7 @@
     further: Ring<2>,  // further pulls that worked, that failed
     purges: Purges,
     storm: Option<Storm>, // off unless the operators tell of storms
+    again: Nanos,         // when the cold node that was asked last bears a pull of this one's
     chance: Chance,
     serial: u32,
 }
@@ -88,6 +89,7 @@
             storm: s
                 .storms
                 .map(|told| Storm::new(told, &s.content_types, s.max_come_back, s.fall_for, s.seed)),
+            again: Nanos::ZERO,
             chance: Chance::new(s.seed),
             serial: 0,
             s,
@@ -167,6 +169,7 @@
     fn pull(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get_mut(id.0) else { return };
         let (rides, dl) = (dl.rides.take(), dl.clone());
+        self.again = Nanos::ZERO;
         let chosen = match dl.missed_at.filter(|id| self.nodes.get(*id).is_some_and(|n| n.listed)) {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
             Some(node) if rides == Some(node) && self.open(now, node) => Some((node, node)),
@@ -311,6 +314,7 @@
         let bearable = self.nodes.get(id).map_or(0.0, |n| self.bearable(n, now));
         let Some(n) = self.nodes.get_mut(id) else { return false };
         let chance = n.part.spend(now, bearable, sharers, self.s.fall_for, work_s);
+        self.again = n.part.until(bearable, sharers, work_s);
         chance > 0.0 && self.chance.share() < chance
     }
 
@@ -607,7 +611,8 @@
             return false;
         }
         dl.stage = to;
-        let advice = Nanos::from_secs(COME_BACK_S * (1.0 + self.chance.share()));
+        let wait_s = COME_BACK_S.max(0.67 * std::mem::take(&mut self.again).secs());
+        let advice = Nanos::from_secs(wait_s * (1.0 + self.chance.share()));
         let advice = self.answered(now, id, to).unwrap_or(advice);
         match to {
             Throttled => out.throttle(id, self.s.come_back.then_some(advice.min(self.s.max_come_back))),
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -171,3 +171,51 @@
     origin.came(ms(3_900));
     assert_eq!(origin.share(ms(4_000)), 1.0);
 }
+
+/// Keeps the times to come back that are told, and passes over all else.
+#[derive(Default)]
+struct Told(Vec<Nanos>);
+
+impl Outbox for Told {
+    fn pull(&mut self, _dl: DlId, _pull: &Pull) {}
+    fn call_off(&mut self, _dl: DlId, _number: u32) {}
+    fn throttle(&mut self, _dl: DlId, come_back: Option<Nanos>) {
+        self.0.extend(come_back);
+    }
+    fn abandon(&mut self, _dl: DlId) {}
+    fn arm(&mut self, _span: Nanos, _token: u64) {}
+    fn follow(&mut self) {}
+    fn note(&mut self, _line: &str) {}
+    fn release(&mut self, _dl: DlId) {}
+    fn release_object(&mut self, _object: ObjectId) {}
+}
+
+#[test]
+fn who_a_cold_cache_cannot_bear_is_told_to_come_back_when_the_part_has_grown() {
+    let told = |dispatchers| {
+        let mut s = settings();
+        (s.dispatchers, s.zone_dispatchers) = (dispatchers, dispatchers);
+        let (mut module, _) = start(s);
+        let mut told = Told::default();
+        let cold = [0, 1, 2].map(|id| entry(id, 0, Readiness::Ready, ms(60_000)));
+        module.nodes_changed(ms(60_000), &cold, &mut told);
+        let asked = |at: u32| Download {
+            dl: DlId(at),
+            content_type: TypeId(0),
+            object: ObjectId(1),
+            copy_hash: 1,
+            object_hash: 1,
+            group: None,
+            expires: ms(70_000),
+            repeat: false,
+            size_kb: Some(1_000.0),
+            client: 0,
+            body_hash: 0,
+        };
+        (0..40).for_each(|at| module.download(ms(60_000 + u64::from(at) * 10), &asked(at), &mut told));
+        told.0.iter().map(|wait| wait.secs()).sum::<f64>() / told.0.len() as f64
+    };
+    let [few, many] = [2, 100].map(told);
+    // Two seconds is the longest that clients heed here.
+    assert!(few < 0.5 && many > 1.5, "{few:.2} s of a few, {many:.2} s of many");
+}
