Test that what the platform rejects stays off in the run line

The test reads the run line and the file it names: one process by exec, no disk tier, no kept list, no word on the list service. It fails if any of them is switched on there.

--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -269,6 +269,18 @@
     use super::Operator;
     use expect_test::expect;
 
+    #[test]
+    fn the_users_platform_has_no_disk_that_lasts_and_tells_nothing_of_its_list_service() {
+        let told = include_str!("../../deploy/platform.json");
+        let platform = Operator::parse(told).expect("a good file");
+        assert_eq!((platform.disk_tier(), platform.last_list()), (Ok(None), Ok(None)));
+        assert_eq!(platform.lists, None);
+        let run = include_str!("../../deploy/balancer.toml").lines().find(|line| line.starts_with("run"));
+        let run = run.unwrap_or_default();
+        // One process, by exec, with that file alone.
+        assert!(run.contains("\"exec target/release/copperroute serve --operator deploy/platform.json\""), "{run}");
+    }
+
     #[test]
     fn what_cannot_be_used_is_refused_with_its_place() {
         let files = [
