--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -278,7 +278,10 @@
         let run = include_str!("../../deploy/balancer.toml").lines().find(|line| line.starts_with("run"));
         let run = run.unwrap_or_default();
         // One process, by exec, with that file alone.
-        assert!(run.contains("\"exec target/release/copperroute serve --operator deploy/platform.json\""), "{run}");
+        assert!(
+            run.contains("\"exec target/release/copperroute serve --operator deploy/platform.json\""),
+            "{run}"
+        );
     }
 
     #[test]
