Open connections to a node ever more rarely while it turns them away

Seen: 100 dispatchers, 16 caches and 2 parents that take 12 new connections a second and hold 130 each (lab, cold-connections): 82,618 connections opened in 50 s, 81,475 turned away, 10.4 tries a download, benefit at half of what it is without limits before anything fails, and it never comes back: what is turned away counts like what is taken. Checked: a connection that comes up and ends is no failure of the node for the decisions where its pull had not left, and after a crash connections that rested are not used for 10 s, so each pull opens one. At fault: nothing decided when one more may be opened (Nodes::take).

src/opening.rs decides it: a second one in a row that ended with nothing heard is turned away; then none is opened for a drawn time that doubles, and one connection for each node is held for a minute. The decisions leave such a node out until then.

The bare 0.67 has a name, and the list to be kept is moved, not cloned.

--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -96,11 +96,11 @@
 
 impl Desk {
     /// An empty desk.
-    pub fn new(connections: Connections, limits: Limits) -> Self {
+    pub fn new(connections: Connections, limits: Limits, seed: u64) -> Self {
         Desk {
             now: Nanos::ZERO,
             clients: Clients::default(),
-            nodes: Nodes::new(connections, limits.sockets as usize / NODES_PART),
+            nodes: Nodes::new(connections, limits.sockets as usize / NODES_PART, seed),
             dls: Ids::default(),
             held: Slots::default(),
             serial: 0,
@@ -121,6 +121,11 @@
         self.nodes.limit(connections, limits.sockets as usize / NODES_PART);
     }
 
+    /// Nodes that have turned connections away since this was asked, and until when none is opened there.
+    pub fn turned_away(&mut self) -> Vec<(NodeId, Nanos)> {
+        self.nodes.turned_away()
+    }
+
     /// Looks after connections; to be called now and then.
     pub fn sweep(&mut self) {
         self.nodes.stuck(self.now).into_iter().for_each(|connection| self.node_closed(connection));
@@ -382,7 +387,7 @@
             let id = self.nodes.id(node);
             log::debug!(target: TRACE, "node {id}: connection {connection} ended");
         }
-        for (pull, outcome) in self.nodes.close(connection, &mut self.effects) {
+        for (pull, outcome) in self.nodes.ended(connection, self.now, &mut self.effects) {
             self.end(pull, outcome, None);
         }
     }
--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -307,7 +307,11 @@
                 Effect::MarkGroup(group, at_ms, seq) => {
                     self.disk.iter().for_each(|disk| disk.purge_group(group, at_ms, seq));
                 }
-                Effect::KeepList(bytes) => self.keeper.iter().for_each(|keeper| keeper.keep(bytes.clone())),
+                Effect::KeepList(bytes) => {
+                    if let Some(keeper) = &self.keeper {
+                        keeper.keep(bytes);
+                    }
+                }
                 Effect::Exit => self.stopped = true,
             }
         }
--- a/dispatcher/src/nodes.rs
+++ b/dispatcher/src/nodes.rs
@@ -4,6 +4,7 @@
 use crate::logs::Sparse;
 use copperroute::ids::Ids;
 use copperroute::interface::{DlId, Nanos, NodeId, Outcome, Readiness};
+use copperroute::opening::{Opening, Openings};
 use copperroute::state::Slots;
 use copperroute_protocol::hex::Hex;
 use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
@@ -11,8 +12,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-/// Connections to one node at most that take pulls.
-const CONNECTIONS: usize = 4;
 /// Bytes of pulls handed to a connection at once; what waits longer can still be dropped unsent.
 const GATHERED: usize = 16 * 1024;
 /// An answer of which nothing more comes for so long holds up all that is out behind it.
@@ -69,6 +68,8 @@
     answered: Nanos,
     /// It had rested when it was last written to, and nothing has come since.
     after_rest: bool,
+    /// Nothing has come on it yet.
+    unheard: bool,
     /// When it last carried anything, and when bytes last came.
     used: Nanos,
     heard: Nanos,
@@ -88,6 +89,7 @@
             written: 0,
             answered: Nanos::ZERO,
             after_rest: false,
+            unheard: true,
             used: now,
             heard: now,
         }
@@ -117,6 +119,8 @@
     pub connections: Vec<u32>,
     /// When it was last listed; once it has gone, since when.
     pub listed: Nanos,
+    /// Whether it takes connections.
+    pub opening: Opening,
 }
 
 /// The nodes listed, those that left not long ago, and the connections to them.
@@ -134,14 +138,32 @@
     /// Connections that rested are not to be trusted until then.
     doubt: Nanos,
     complaints: Sparse,
+    openings: Openings,
+    /// Nodes that turned connections away, and until when none is opened there; not handed on yet.
+    full: Vec<(NodeId, Nanos)>,
 }
 
 impl Nodes {
     /// No nodes yet.
-    pub fn new(limits: Connections, most: usize) -> Self {
-        let (ids, pools, connections) = (Ids::default(), Slots::default(), HashMap::new());
-        let (complaints, doubt) = (Sparse::default(), Nanos::ZERO);
-        Nodes { limits, most, ids, pools, connections, last: 0, held_back: false, doubt, complaints }
+    pub fn new(limits: Connections, most: usize, seed: u64) -> Self {
+        Nodes {
+            limits,
+            most,
+            ids: Ids::default(),
+            pools: Slots::default(),
+            connections: HashMap::new(),
+            last: 0,
+            held_back: false,
+            doubt: Nanos::ZERO,
+            complaints: Sparse::default(),
+            openings: Openings::new(seed),
+            full: Vec::new(),
+        }
+    }
+
+    /// Nodes that have turned connections away since this was asked, and until when none is opened there.
+    pub fn turned_away(&mut self) -> Vec<(NodeId, Nanos)> {
+        std::mem::take(&mut self.full)
     }
 
     /// Takes new limits.
@@ -166,8 +188,8 @@
             return node;
         };
         let anew = pool.started > known.started || (pool.address.is_some() && pool.address != known.address);
-        let connections = std::mem::take(&mut known.connections);
-        *known = Pool { address: pool.address.or(known.address), connections, ..pool };
+        let (connections, opening) = (std::mem::take(&mut known.connections), known.opening);
+        *known = Pool { address: pool.address.or(known.address), connections, opening, ..pool };
         if anew {
             self.retire(node, now, effects);
         }
@@ -233,9 +255,15 @@
         now: Nanos,
         effects: &mut Vec<Effect>,
     ) -> Option<u32> {
-        if once || now < self.doubt {
+        let spared = self.openings.are_spared(now);
+        if once || (now < self.doubt && !spared) {
             let rested = |number: &u32| self.connections.get(number).is_some_and(|c| c.has_rested(now));
-            let rested: Vec<_> = self.pools.get(node.0)?.connections.iter().copied().filter(rested).collect();
+            let pool = self.pools.get(node.0)?;
+            let mut rested: Vec<_> = pool.connections.iter().copied().filter(rested).collect();
+            // Where none may be opened in its place, one that rested is better than none.
+            if !self.openings.may_open(now, &pool.opening, pool.connections.len() - rested.len()) {
+                rested.clear();
+            }
             for number in rested {
                 self.close(number, effects);
             }
@@ -251,7 +279,8 @@
         let best = pool.connections.iter().filter(usable).filter(fits).min_by_key(load).copied();
         // What is on one connection ends with it: so one that carries nothing, else a further one.
         let used = pool.connections.iter().filter(usable).count();
-        let room = used == 0 || (used < CONNECTIONS && self.connections.len() < self.most);
+        let room = (used == 0 || self.connections.len() < self.most)
+            && self.openings.may_open(now, &pool.opening, used);
         let number = match best.filter(|number| !room || load(&number) == 0) {
             Some(number) => number,
             None if !room => return None,
@@ -365,6 +394,10 @@
         if let Some(connection) = self.connections.get_mut(&number) {
             (connection.used, connection.heard, connection.after_rest) = (now, now, false);
             connection.decoder.feed(bytes);
+            if std::mem::take(&mut connection.unheard) {
+                let pool = self.pools.get_mut(connection.node.0);
+                pool.into_iter().for_each(|pool| pool.opening.taken());
+            }
         }
     }
 
@@ -391,9 +424,24 @@
         }
     }
 
-    /// A connection is over, or never came up. Returns the pulls on it in their order, and how each ended: one
+    /// A connection is over, or never came up; one that came up and brought nothing was turned away. Returns as
+    /// `close`.
+    pub fn ended(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) -> Vec<(PullRef, Outcome)> {
+        let turned_away = |c: &&Connection| c.up && c.unheard && c.load() > 0;
+        let node = self.connections.get(&number).filter(turned_away).map(|connection| connection.node);
+        let pulls = self.close(number, effects);
+        if let Some(node) = node
+            && let Some(pool) = self.pools.get_mut(node.0)
+        {
+            let until = self.openings.turned_away(now, &mut pool.opening);
+            self.full.extend(until.filter(|_| pool.connections.is_empty()).map(|until| (node, until)));
+        }
+        pulls
+    }
+
+    /// Lets go of a connection. Returns the pulls on it in their order, and how each ended: one
     /// whose last byte had not left never ran, and a connection that had come up says nothing of the node.
-    pub fn close(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<(PullRef, Outcome)> {
+    fn close(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<(PullRef, Outcome)> {
         let Some(connection) = self.connections.remove(&number) else { return Vec::new() };
         if connection.after_rest && connection.live > 0 {
             self.doubt = connection.used.after(DOUBT);
@@ -448,7 +496,11 @@
             connection.out.retain(|_, written| written.pull.is_some() || written.expires > now);
         }
         let old = |c: &Connection| c.load() == 0 && idle > Nanos::ZERO && now.since(c.used) > idle;
-        let spent = self.connections.iter().filter(|(_, connection)| old(connection));
+        // While connections are spared, others need those that carry nothing beside another.
+        let spared = self.openings.are_spared(now);
+        let first = |c: &Connection| self.pools.get(c.node.0).and_then(|pool| pool.connections.first());
+        let beside = |number: &u32, c: &Connection| spared && c.load() == 0 && first(c) != Some(number);
+        let spent = self.connections.iter().filter(|(number, c)| old(c) || beside(number, c));
         let mut spent: Vec<_> = spent.map(|(number, _)| *number).collect();
         spent.sort();
         for number in spent {
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -19,6 +19,7 @@
     DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, TypeId, ZoneId, mix,
     stable_hash,
 };
+use copperroute::opening::Opening;
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
 use copperroute_protocol::hex::Hex;
@@ -81,7 +82,7 @@
         let (bytes, s) = (config.copies_bytes, &config.settings);
         let copies = || Copies::new(bytes, config.own_link, &s.content_types, s.purge_done);
         let copies = (bytes > 0).then(copies);
-        let mut desk = Desk::new(config.connections, config.limits);
+        let mut desk = Desk::new(config.connections, config.limits, config.settings.seed.rotate_left(16));
         desk.keeps_copies = copies.is_some();
         let purges = s.purge_done.after(s.purge_notice);
         let last_list = config.last_list.as_ref().map(|_| LastList::new(config.print(), purges));
@@ -196,6 +197,9 @@
 
     /// Pulls that have ended reach the module one by one, with what it does of it.
     fn hand_on_ends(&mut self, now: Nanos) {
+        for (node, until) in self.desk.turned_away() {
+            self.module.node_turns_away(node, until);
+        }
         while let Some((pull, end)) = self.desk.ended.pop_front() {
             self.module.pull_ended(now, pull.dl, pull.number, &end, &mut self.desk);
         }
@@ -553,8 +557,14 @@
         let readiness = listed.state.into();
         let started_ms = listed.started_ms.filter(|ms| *ms > 0);
         let started = started_ms.map_or(Nanos::ZERO, |ms| self.epoch.time(ms));
-        let pool =
-            Pool { address: listed.addr, started, readiness, connections: Vec::new(), listed: self.desk.now };
+        let pool = Pool {
+            address: listed.addr,
+            started,
+            readiness,
+            connections: Vec::new(),
+            listed: self.desk.now,
+            opening: Opening::default(),
+        };
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
             hash: stable_hash(listed.id.as_bytes()),
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -799,3 +799,25 @@
     "#]]
     .assert_eq(&wrong.map(read).concat());
 }
+
+/// A node that takes connections and ends them at once: asked ten times a second, it is connected to ever more rarely, and
+/// what is asked for is answered at once.
+#[test]
+fn a_node_that_turns_connections_away_is_connected_to_more_and_more_rarely() {
+    let mut play = Play::new();
+    let mut opened = [0; 2];
+    for number in 0..200 {
+        play.client(&request(7, "image", &format!("{number:04x}"), ",need=100"));
+        // Whatever was connected to ends; what comes of that too.
+        for _ in 0..8 {
+            let trace = play.take();
+            let connected =
+                trace.lines().filter_map(|line| line.strip_prefix("connect Node(")?.split(')').next());
+            let connected: Vec<u32> = connected.filter_map(|number| number.parse().ok()).collect();
+            opened[number / 100] += connected.len();
+            connected.iter().for_each(|number| play.event(Event::Closed(Peer::Node(*number))));
+        }
+        play.pass(100);
+    }
+    assert!(opened[0] < 60 && opened[1] < 20, "{opened:?}");
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod groups;
+mod least;
 mod links;
 mod many;
 mod nodes;
@@ -57,6 +58,19 @@
         #[arg(long, default_value_t = 77)]
         net: u8,
     },
+    /// Plays a scenario with each number of dispatchers in turn, in one report with curves over them.
+    Sizes {
+        scenario: PathBuf,
+        /// How many dispatchers.
+        #[arg(long, value_delimiter = ',', default_value = "4,10,30,100,300")]
+        dispatchers: Vec<usize>,
+        #[arg(long, default_value = "target/lab")]
+        out: PathBuf,
+        #[arg(long)]
+        program: Option<PathBuf>,
+        #[arg(long, default_value_t = 77)]
+        net: u8,
+    },
     /// Downloads a core-second of dispatchers, as a share of a bare relay's.
     Pace {
         /// Another program, measured in turn.
@@ -137,6 +151,29 @@
     Ok(())
 }
 
+/// Plays with each number of dispatchers, writes one report, and judges all.
+fn sizes(file: &Path, sizes: &[usize], program: &Path, out: &Path, net: u8) -> Ended {
+    let mut scenario = Scenario::read(file).map_err(|fault| (UNUSABLE, fault))?;
+    let name = play::name_of(file);
+    let mut outcomes: Vec<Outcome> = Vec::new();
+    for size in sizes {
+        scenario.dispatchers.count = *size;
+        scenario.check().map_err(|fault| (UNUSABLE, fault))?;
+        let folder = out.join(format!("{name}-of-{size}"));
+        let play = Play { name: &name, scenario: &scenario, program, operated: true, out: &folder, net };
+        outcomes.push(on_threads(4, play.run())?);
+        report::write(out, &name, &scenario, &outcomes).map_err(|fault| (UNUSABLE, fault))?;
+    }
+    for (what, values) in report::rows(&outcomes) {
+        println!("{what}: {}", values.join(" | "));
+    }
+    let verdict = |outcome: &Outcome| {
+        let named = |fault| (FAILED, format!("{name}, {} dispatchers: {fault}", outcome.dispatchers));
+        outcome.verdict().map_err(named)
+    };
+    outcomes.iter().try_for_each(verdict)
+}
+
 fn list(folder: &Path) -> Ended {
     let said = |fault: std::io::Error| (UNUSABLE, format!("{}: {fault}", folder.display()));
     let files = std::fs::read_dir(folder).map_err(said)?.flatten().map(|entry| entry.path());
@@ -159,6 +196,9 @@
         Command::Compare { scenario, other, out, program, net } => {
             play(&scenario, &[own(program)?, other], &out, net)
         }
+        Command::Sizes { scenario, dispatchers, out, program, net } => {
+            sizes(&scenario, &dispatchers, &own(program)?, &out, net)
+        }
         Command::Pace { other, operator, program, rounds, out, net } => {
             let own = own(program)?;
             let programs: Vec<&Path> =
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -3,7 +3,7 @@
 use crate::clients::{Crowd, KB_PER_S};
 use crate::nodes::{FALL_FOR, FALL_MULTIPLE, Fleet, PARENT_COLD_S, PARENT_FALL_MULTIPLE, zone_name};
 use crate::processes::{Processes, own_address, ready};
-use crate::results::{Heard, Outcome, Results};
+use crate::results::{Heard, Outcome, Results, Seen};
 use crate::scenario::{Fault, Know, Scenario, Side, What, Whom};
 use crate::service::Service;
 use crate::world::{DRAIN_GRACE, PURGE_GRACE, World, unix_ms};
@@ -281,9 +281,9 @@
             seconds,
         };
         let program = self.program.display().to_string();
-        let outcome =
-            results.outcome(self.name, &program, self.scenario, world.breaches(), &logs.concat(), heard);
-        Ok(Outcome { traffic: world.traffic(), tallies: world.tallies(), ..outcome })
+        let (breaches, tallies, traffic) = (world.breaches(), world.tallies(), world.traffic());
+        let seen = Seen { breaches, logs: logs.concat(), heard, tallies, traffic };
+        Ok(results.outcome(self.name, &program, self.scenario, seen))
     }
 
     /// Second by second: progress, and what dispatchers use.
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -15,8 +15,8 @@
 type Curve = (String, Vec<f64>);
 type Value<'a> = (&'a str, &'a dyn Fn(&Second) -> f64);
 
-/// One chart over the seconds, with the faults shaded.
-fn chart(curves: &[Curve], faults: [f64; 2]) -> Result<String, String> {
+/// One chart over the seconds, with the faults shaded; over numbers of dispatchers where these are given.
+fn chart(curves: &[Curve], faults: [f64; 2], sizes: &[usize]) -> Result<String, String> {
     let mut svg = String::new();
     {
         let said = |fault: &dyn std::fmt::Display| fault.to_string();
@@ -29,7 +29,14 @@
             .y_label_area_size(52)
             .build_cartesian_2d(0.0..length, 0.0..most)
             .map_err(|fault| said(&fault))?;
-        chart.configure_mesh().disable_x_mesh().x_desc("s").draw().map_err(|fault| said(&fault))?;
+        // Each number of dispatchers stands where its point is, in the middle between two marks.
+        let size = |at: &f64| sizes.get(*at as usize).filter(|_| at.fract() > 0.4).map(usize::to_string);
+        let mark = |at: &f64| if sizes.is_empty() { format!("{at}") } else { size(at).unwrap_or_default() };
+        let x = if sizes.is_empty() { "s" } else { "dispatchers" };
+        let marks = if sizes.is_empty() { 10 } else { 2 * sizes.len() + 1 };
+        let mut mesh = chart.configure_mesh();
+        mesh.disable_x_mesh().x_desc(x).x_labels(marks).x_label_formatter(&mark);
+        mesh.draw().map_err(|fault| said(&fault))?;
         if faults[1] > faults[0] {
             let shade = Rectangle::new(
                 [(faults[0], 0.0), (faults[1], most)],
@@ -55,11 +62,39 @@
     Ok(svg)
 }
 
+/// What sets a play apart from the others: how many dispatchers, else the program.
+fn label(outcomes: &[Outcome], of: &Outcome) -> String {
+    match outcomes.iter().any(|other| other.dispatchers != of.dispatchers) {
+        true => of.dispatchers.to_string(),
+        false => of.program.rsplit('/').next().unwrap_or(&of.program).to_string(),
+    }
+}
+
+/// Figures of plays over their numbers of dispatchers; none where those are all alike.
+fn over_sizes(outcomes: &[Outcome]) -> Vec<(&'static str, Vec<Curve>)> {
+    let each = |name: &str, of: fn(&Outcome) -> f64| (name.to_string(), outcomes.iter().map(of).collect());
+    let least = |of: fn(&crate::least::Least) -> f64| {
+        let values = outcomes.iter().map(|outcome| outcome.least.as_ref().map_or(0.0, of)).collect();
+        ("least possible".to_string(), values)
+    };
+    if outcomes.iter().all(|outcome| outcome.dispatchers == outcomes[0].dispatchers) {
+        return Vec::new();
+    }
+    vec![
+        ("Back after, s", vec![each("back", |o| o.back_s.unwrap_or(f64::NAN)), least(|least| least.back_s)]),
+        (
+            "Benefit in the 30 s after",
+            vec![each("benefit", |o| o.after), ("most possible".into(), least(|least| least.after).1)],
+        ),
+        ("Tries a download", vec![each("tries", |o| o.tries_each)]),
+        ("Calls at the list service, most in a second", vec![each("calls", |o| f64::from(o.heard.peak))]),
+    ]
+}
+
 fn curves(outcomes: &[Outcome], what: &[Value<'_>]) -> Vec<Curve> {
-    let short = |program: &str| program.rsplit('/').next().unwrap_or(program).to_string();
     let of = |outcome: &Outcome, (name, value): &Value<'_>| {
         let label = if outcomes.len() > 1 {
-            format!("{name}, {}", short(&outcome.program))
+            format!("{name}, {}", label(outcomes, outcome))
         } else {
             (*name).to_string()
         };
@@ -71,8 +106,7 @@
 /// Calls at the list service, second by second.
 fn service_curves(outcomes: &[Outcome]) -> Vec<Curve> {
     let of = |outcome: &Outcome| {
-        let name = outcome.program.rsplit('/').next().unwrap_or_default().to_string();
-        (name, outcome.heard.seconds.iter().map(|tally| f64::from(tally.calls)).collect())
+        (label(outcomes, outcome), outcome.heard.seconds.iter().map(|tally| f64::from(tally.calls)).collect())
     };
     outcomes.iter().map(of).collect()
 }
@@ -81,12 +115,17 @@
 pub fn rows(outcomes: &[Outcome]) -> Vec<(&'static str, Vec<String>)> {
     let each = |value: &dyn Fn(&Outcome) -> String| outcomes.iter().map(value).collect();
     vec![
+        ("dispatchers", each(&|o| o.dispatchers.to_string())),
         ("rules broken", each(&|o| o.breaches.len().to_string())),
         ("benefit a second before the faults", each(&|o| format!("{:.1}", o.level))),
         (
             "back at 95% of it, s after the last fault",
             each(&|o| o.back_s.map_or("never".into(), |back| format!("{back:.0}"))),
         ),
+        (
+            "least possible: back after s, benefit in the 30 s after",
+            each(&|o| o.least.map_or("-".into(), |least| format!("{:.1}, {:.2}", least.back_s, least.after))),
+        ),
         ("benefit in the 30 s after, beside the level", each(&|o| format!("{:.2}", o.after))),
         ("downloads served", each(&|o| o.served.to_string())),
         ("downloads given up", each(&|o| o.given_up.to_string())),
@@ -159,7 +198,11 @@
     ];
     let mut drawn = Vec::new();
     for (title, curves) in charts {
-        drawn.push(context! { title => title, svg => chart(&curves, faults)? });
+        drawn.push(context! { title => title, svg => chart(&curves, faults, &[])? });
+    }
+    let sizes: Vec<_> = outcomes.iter().map(|outcome| outcome.dispatchers).collect();
+    for (title, curves) in over_sizes(outcomes) {
+        drawn.push(context! { title => title, svg => chart(&curves, [0.0; 2], &sizes)? });
     }
     let rows: Vec<_> = rows(outcomes)
         .into_iter()
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -1,5 +1,6 @@
 //! What is counted while a scenario is played, second by second, and what it comes to.
 
+use crate::least::{Least, least};
 use crate::scenario::{Scenario, What};
 use crate::service::Tally as ServiceTally;
 use crate::world::{Breach, Tally};
@@ -9,8 +10,8 @@
 use std::time::Duration;
 
 /// Benefit counts as back at this part of its level, on the mean of so many seconds.
-const BACK: f64 = 0.95;
-const BACK_OVER: usize = 3;
+pub const BACK: f64 = 0.95;
+pub const BACK_OVER: usize = 3;
 /// The level is taken from the last seconds before the first fault.
 const LEVEL_OVER: usize = 8;
 
@@ -65,6 +66,20 @@
     pub seconds: Vec<ServiceTally>,
 }
 
+/// What stand-ins and logs show at the end.
+pub struct Seen {
+    /// Breaches of the rules.
+    pub breaches: Vec<Breach>,
+    /// What dispatchers wrote.
+    pub logs: String,
+    /// What the list service saw.
+    pub heard: Heard,
+    /// What nodes counted, second by second.
+    pub tallies: Vec<Tally>,
+    /// Bytes that the origin gave out, and pulls that came to nodes.
+    pub traffic: [u64; 2],
+}
+
 /// What a play came to.
 #[derive(Debug, Clone, Serialize)]
 pub struct Outcome {
@@ -74,6 +89,10 @@
     pub heard: Heard,
     /// What nodes counted, second by second.
     pub tallies: Vec<Tally>,
+    /// How many dispatchers there were.
+    pub dispatchers: usize,
+    /// What could not be done better by any, where caches lost all.
+    pub least: Option<Least>,
     /// The scenario's name, and the program's.
     pub scenario: String,
     pub program: String,
@@ -176,15 +195,8 @@
     }
 
     /// What it came to.
-    pub fn outcome(
-        &self,
-        name: &str,
-        program: &str,
-        scenario: &Scenario,
-        breaches: Vec<Breach>,
-        logs: &str,
-        heard: Heard,
-    ) -> Outcome {
+    pub fn outcome(&self, name: &str, program: &str, scenario: &Scenario, seen: Seen) -> Outcome {
+        let Seen { breaches, logs, heard, tallies, traffic } = seen;
         let counts = self.counts();
         let seconds = counts.seconds[..counts.seconds.len() - 1].to_vec();
         let bad = |fault: &&crate::scenario::Fault| fault.what != What::Purge;
@@ -233,6 +245,8 @@
             expect.log_lines.map(|lines| lines as f64),
         ));
         missed.extend(over("tries_each", Some(tries_each), expect.tries_each));
+        let turned_away: u32 = tallies.iter().map(|tally| tally.turned_away).sum();
+        missed.extend(over("turned_away", Some(turned_away.into()), expect.turned_away.map(f64::from)));
         if let Some(least) = expect.after.filter(|least| after < *least) {
             missed.push(format!("after: {after:.2}; expected {least} at least"));
         }
@@ -243,6 +257,8 @@
             missed.push(format!("logs_lack: there is '{text}'"));
         }
         Outcome {
+            dispatchers: scenario.dispatchers.count,
+            least: least(scenario),
             scenario: name.to_string(),
             program: program.to_string(),
             breaches,
@@ -252,13 +268,13 @@
             after,
             seed: scenario.seed,
             heard,
-            tallies: Vec::new(),
+            tallies,
             served,
             given_up,
             tries_each,
             took_ms: part(&counts.served, 1e3),
             waited_s: part(&counts.waited, 1e6),
-            traffic: [0; 2],
+            traffic,
             cpu_s: seconds.iter().map(|second| second.cpu_ms).sum::<f64>() / 1e3,
             memory_mb: seconds.iter().map(|second| second.memory_mb).fold(0.0, f64::max),
             faults_s: [begins, ends],
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -317,6 +317,8 @@
     pub log_lines: Option<usize>,
     /// No more tries a download.
     pub tries_each: Option<f64>,
+    /// Nodes turn no more connections away.
+    pub turned_away: Option<u32>,
     /// Benefit in the thirty seconds after the last fault, beside the level before the first.
     pub after: Option<f64>,
     /// The logs hold this text.
@@ -364,7 +366,8 @@
         Ok(read)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// Whether it can be played.
+    pub fn check(&self) -> Result<(), String> {
         let within = |path: &str, value: f64, least: f64, most: f64| match value >= least && value <= most {
             true => Ok(()),
             false => Err(format!("{path}: {value}; expected {least} to {most}")),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,6 +46,7 @@
 const FADES: Nanos = Nanos(4_000_000_000); // halves the first byte of a parent that is not asked
 const FILL_USUAL_S: f64 = 0.1; // until seen
 const COME_BACK_S: f64 = 0.1;
+const COME_BACK_SHARE: f64 = 0.67; // of the wait that is left
 const FURTHER_FLOOR: f64 = 0.1;
 const SMOOTH: f64 = 0.2;
 const DEFAULT_WORK_S: f64 = 0.3; // sending time of a content type not yet seen
@@ -611,7 +612,7 @@
             return false;
         }
         dl.stage = to;
-        let wait_s = COME_BACK_S.max(0.67 * std::mem::take(&mut self.again).secs());
+        let wait_s = COME_BACK_S.max(COME_BACK_SHARE * std::mem::take(&mut self.again).secs());
         let advice = Nanos::from_secs(wait_s * (1.0 + self.chance.share()));
         let advice = self.answered(now, id, to).unwrap_or(advice);
         match to {
@@ -805,6 +806,11 @@
         self.nodes.forget(id);
     }
 
+    /// A node takes no connection of this dispatcher's before then: it is left out, and has not died.
+    pub fn node_turns_away(&mut self, id: NodeId, until: Nanos) {
+        self.nodes.get_mut(id).into_iter().for_each(|n| n.aside_until = n.aside_until.max(until));
+    }
+
     /// A call to discovery failed: the old list stands, and the subscription is asked for again.
     pub fn list_failed(&mut self, _now: Nanos, out: &mut impl Outbox) {
         out.arm(ASK_AGAIN, u64::MAX);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod interface;
 pub mod ledger;
 pub mod link;
+pub mod opening;
 pub mod purges;
 pub mod recent;
 pub mod ring;
--- /dev/null
+++ b/src/opening.rs
@@ -0,0 +1,72 @@
+//! Decisions on connections to nodes: whether one more may be opened, and how long none is after a node has turned
+//! some away. No input or output; time comes with each call, chance from a seed. See docs/cold-start.md.
+//!
+//! A host bears so many connections held and so many new ones a second, and tells nobody how many. Of hundreds of
+//! dispatchers each sees only whether its own are taken: what is turned away counts for the host like what it takes, so
+//! that trying again at once keeps it full for ever (measured, docs/cold-start.md). So each waits longer the more often
+//! it was turned away in a row, by chance, until its own is taken; and while any node turns some away the dispatcher
+//! holds one connection to each node, since the others need as much.
+
+use crate::chance::Chance;
+use crate::interface::{Nanos, mix};
+
+/// Connections to one node while none is turned away: what is on one ends with it.
+const HELD: usize = 4;
+/// A single one that ends with nothing heard may be a node that fell: from this many in a row on it turns away.
+const ROW: u32 = 2;
+/// The wait after that, doubling with each in a row, and the longest.
+const WAIT: Nanos = Nanos(200_000_000);
+const LONGEST: Nanos = Nanos(25_600_000_000);
+/// After one was turned away connections are spared for so long.
+const SPARED: Nanos = Nanos(60_000_000_000);
+
+/// What was seen of one node's connections.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Opening {
+    /// Turned away since one was taken.
+    in_row: u32,
+    /// None is opened before.
+    until: Nanos,
+}
+
+impl Opening {
+    /// The node has answered on one: it was taken.
+    pub fn taken(&mut self) {
+        *self = Opening::default();
+    }
+}
+
+/// One dispatcher's connections to all nodes.
+#[derive(Debug)]
+pub struct Openings {
+    chance: Chance,
+    spared_until: Nanos,
+}
+
+impl Openings {
+    /// Nothing was turned away yet.
+    pub fn new(seed: u64) -> Self {
+        Openings { chance: Chance::new(mix(seed)), spared_until: Nanos::ZERO }
+    }
+
+    /// Whether connections are spared: one for each node, for as long as it will do.
+    pub fn are_spared(&self, now: Nanos) -> bool {
+        now < self.spared_until
+    }
+
+    /// Whether one more may be opened to a node to which so many are held.
+    pub fn may_open(&self, now: Nanos, of: &Opening, held: usize) -> bool {
+        let most = if self.are_spared(now) { 1 } else { HELD };
+        held < most && of.until <= now && (held == 0 || of.in_row == 0)
+    }
+
+    /// One has come up and ended with nothing heard. Returns until when none is opened, if the node turns away.
+    pub fn turned_away(&mut self, now: Nanos, of: &mut Opening) -> Option<Nanos> {
+        of.in_row = of.in_row.saturating_add(1);
+        let doubled = of.in_row.checked_sub(ROW)?;
+        let longest = LONGEST.0.min(WAIT.0 << doubled.min(16));
+        of.until = now.after(Nanos((longest as f64 * (0.5 + 0.5 * self.chance.share())) as u64));
+        self.spared_until = now.after(SPARED);
+        Some(of.until)
+    }
+}
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod conduct;
 mod failures;
+mod opening;
 mod ordinary;
 mod rules;
 mod storms;
