Agree on versions of rules: what contradicts what, leases, moments, every ordering

The package agreement has no input or output: a table of what is a rule and which of two values is the stricter (rules.rs), what a version says and may follow (issue.rs), a lease on being up to date that a queue does not renew (lease.rs), and on which rules one dispatcher acts (core.rs): in touch on the strictest of the version in force and those to come, out of touch on the floor that no later one may go under. A version acts lease + clock error + slack after it was issued.

Nothing uses it yet.

--- /dev/null
+++ b/agreement/src/issue.rs
@@ -0,0 +1,189 @@
+//! A version of the rules as an issuer writes it, and whether it may follow another.
+
+use crate::faults::{Fault, Faults};
+use crate::rules::RuleSet;
+use crate::terms::Terms;
+use copperroute::interface::stable_hash;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::fmt;
+
+/// A version, as it stands in a file or in an event of the change log. What it does not name is as the platform says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Issue {
+    /// Its number: one more than that of the version before it.
+    pub version: u64,
+    /// The digest of that version; empty for the first.
+    #[serde(default)]
+    pub after: String,
+    /// Who issued it.
+    pub issuer: String,
+    /// The Unix millisecond at which it was issued.
+    pub issued_ms: u64,
+    /// The Unix millisecond from which it acts.
+    pub from_ms: u64,
+    /// What it says.
+    pub rules: Map<String, Value>,
+    /// The strictest that it, and any later version, may say; what it does not name stays as this version says.
+    /// Absent: as that of the version before it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub floor: Option<Map<String, Value>>,
+}
+
+impl Issue {
+    /// Reads one; an error names the field.
+    pub fn parse(text: &str) -> Result<Issue, String> {
+        let read = &mut serde_json::Deserializer::from_str(text);
+        serde_path_to_error::deserialize(read).map_err(|fault| fault.to_string())
+    }
+
+    /// The same from a value that was read.
+    pub fn read(value: &Value) -> Result<Issue, String> {
+        serde_path_to_error::deserialize(value).map_err(|fault| fault.to_string())
+    }
+
+    /// Tells its content from any other.
+    pub fn digest(&self) -> u64 {
+        // The names in it are in order, however they were written.
+        stable_hash(serde_json::to_string(&serde_json::json!(self)).unwrap_or_default().as_bytes())
+    }
+}
+
+/// What all versions are judged by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Ground {
+    /// What the platform's settings say.
+    pub base: RuleSet,
+    /// The names of the content types.
+    pub types: Vec<String>,
+    /// What is stated of clocks and ways.
+    pub terms: Terms,
+    /// What is done wrongly on purpose.
+    pub faults: Faults,
+}
+
+/// A version as it was understood.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Version {
+    /// Its number; 0 is what the platform's settings say.
+    pub number: u64,
+    /// Of its content.
+    pub digest: u64,
+    /// The Unix millisecond from which it acts.
+    pub from_ms: u64,
+    /// Who issued it.
+    pub issuer: String,
+    /// What it says.
+    pub rules: RuleSet,
+    /// The strictest that it, and any later one, may say.
+    pub floor: RuleSet,
+}
+
+/// Why a version is not taken. The last good one stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Refusal {
+    /// It was heard before, and says the same.
+    Known,
+    /// A later one was heard.
+    Older { is: u64, holds: u64 },
+    /// Another content was heard under this number.
+    TwoContents { version: u64, holds: u64, is: u64 },
+    /// It follows another content than the one that is held: of two issuers, or services, one was not heard here.
+    Forked { version: u64, after: String, holds: String },
+    /// It acts from a moment that not everybody can have heard of by then.
+    TooNear { notice_ms: u64, least_ms: u64 },
+    /// It acts no later than the version before it.
+    NotAfter { from_ms: u64, before_ms: u64 },
+    /// A field can't be read.
+    Unreadable(String),
+    /// A field is looser than the platform's settings.
+    TooLoose(String),
+    /// A field is stricter than this version, or an earlier one, allowed for.
+    UnderFloor(String),
+    /// It allows for stricter rules than the version before it did.
+    Widened(String),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Known => write!(to, "known"),
+            Refusal::Older { is, holds } => write!(to, "version {is} is older than {holds}"),
+            Refusal::TwoContents { version, holds, is } => {
+                write!(to, "version {version} has two contents: {holds:016x} stands, {is:016x} came")
+            }
+            Refusal::Forked { version, after, holds } => {
+                write!(to, "version {version} follows '{after}', held is '{holds}'")
+            }
+            Refusal::TooNear { notice_ms, least_ms } => {
+                write!(to, "from_ms: {notice_ms} ms after issued_ms; expected {least_ms} at least")
+            }
+            Refusal::NotAfter { from_ms, before_ms } => {
+                write!(to, "from_ms: {from_ms}; expected more than {before_ms}, of the version before it")
+            }
+            Refusal::Unreadable(why) => write!(to, "{why}"),
+            Refusal::TooLoose(field) => write!(to, "{field}: looser than the platform's settings"),
+            Refusal::UnderFloor(field) => write!(to, "{field}: stricter than the floor allows"),
+            Refusal::Widened(field) => write!(to, "{field}: a stricter floor than before"),
+        }
+    }
+}
+
+/// How the digest of a version is written in the one after it.
+pub fn written_digest(number: u64, digest: u64) -> String {
+    if number == 0 { String::new() } else { format!("{digest:016x}") }
+}
+
+impl Version {
+    /// What the platform's settings say, with the strictest that any version may say.
+    pub fn zero(rules: RuleSet, floor: RuleSet) -> Version {
+        Version { number: 0, digest: 0, from_ms: 0, issuer: String::new(), rules, floor }
+    }
+
+    /// An issue as a version that follows `last`.
+    pub fn read(issue: &Issue, last: &Version, ground: &Ground) -> Result<Version, Refusal> {
+        let types = &ground.types;
+        let rules = RuleSet::read(&ground.base, types, "rules", &issue.rules).map_err(Refusal::Unreadable)?;
+        let floor = match &issue.floor {
+            Some(told) => RuleSet::read(&rules, types, "floor", told).map_err(Refusal::Unreadable)?,
+            None => last.floor.clone(),
+        };
+        Ok(Version {
+            number: issue.version,
+            digest: issue.digest(),
+            from_ms: issue.from_ms,
+            issuer: issue.issuer.clone(),
+            rules,
+            floor,
+        })
+    }
+
+    /// Whether this may follow `last`, whatever else is known; nothing in it depends on when it is heard.
+    pub fn may_follow(&self, issue: &Issue, last: &Version, ground: &Ground) -> Result<(), Refusal> {
+        let Ground { base, types, terms, faults } = ground;
+        let least_ms = terms.notice().0.div_ceil(1_000_000);
+        let notice_ms = issue.from_ms.saturating_sub(issue.issued_ms);
+        if notice_ms < least_ms && !faults.is(Fault::SkipNotice) {
+            return Err(Refusal::TooNear { notice_ms, least_ms });
+        }
+        if self.from_ms <= last.from_ms {
+            return Err(Refusal::NotAfter { from_ms: self.from_ms, before_ms: last.from_ms });
+        }
+        let holds = written_digest(last.number, last.digest);
+        if self.number == last.number + 1 && issue.after != holds && !faults.is(Fault::TakeSecond) {
+            return Err(Refusal::Forked { version: self.number, after: issue.after.clone(), holds });
+        }
+        if faults.is(Fault::SkipBand) {
+            return Ok(());
+        }
+        if let Some(field) = self.rules.looser_than(base) {
+            return Err(Refusal::TooLoose(field.path(types)));
+        }
+        // The floor of the version before is the strictest that one who lost touch then acts on.
+        if let Some(field) = last.floor.looser_than(&self.rules).or(self.floor.looser_than(&self.rules)) {
+            return Err(Refusal::UnderFloor(field.path(types)));
+        }
+        last.floor.looser_than(&self.floor).map_or(Ok(()), |field| Err(Refusal::Widened(field.path(types))))
+    }
+}
--- /dev/null
+++ b/agreement/tests/agreement/common.rs
@@ -0,0 +1,90 @@
+//! Rules of a small fleet, and versions of them.
+
+use copperroute::interface::{ColdStart, ContentType, Nanos, Repeat, Settings, ZoneId};
+use copperroute_agreement::core::Agreement;
+use copperroute_agreement::faults::Faults;
+use copperroute_agreement::issue::{Ground, Issue};
+use copperroute_agreement::rules::RuleSet;
+use copperroute_agreement::terms::Terms;
+use serde_json::{Map, Value, json};
+
+/// So many milliseconds.
+pub fn ms(ms: u64) -> Nanos {
+    Nanos(ms * 1_000_000)
+}
+
+/// The content types.
+pub fn types() -> Vec<String> {
+    ["image", "post"].map(str::to_string).to_vec()
+}
+
+/// What the platform says.
+pub fn settings() -> Settings {
+    let content_type = |repeat| ContentType {
+        target_time: ms(400),
+        target_stretch: 1.0,
+        repeat,
+        fresh_for: None,
+        uncacheable: false,
+        benefit: 1.0,
+    };
+    let cold = ColdStart { share: 0.3, warm_after: ms(12_000), fall_multiple: 1.5 };
+    Settings {
+        seed: 1,
+        zone: ZoneId(0),
+        dispatchers: 4,
+        zone_dispatchers: 4,
+        content_types: vec![content_type(Repeat::Retriable), content_type(Repeat::NonRetriable)],
+        parent_kind: Some(1),
+        origin_kind: Some(2),
+        direct: true,
+        joins: false,
+        fills_told: true,
+        sideways: false,
+        client_kb_per_s: 0.0,
+        link_kb_per_s: 0.0,
+        purge_done: ms(6_000),
+        purge_notice: ms(7_000),
+        cache_cold: cold,
+        parent_cold: cold,
+        fall_for: ms(3_000),
+        origin_stop_multiple: 2.5,
+        list_is_asked: false,
+        cancel: true,
+        come_back: true,
+        max_come_back: ms(1_000),
+        max_pulls: 6,
+        storms: None,
+    }
+}
+
+/// The same as rules.
+pub fn base() -> RuleSet {
+    RuleSet::of(&settings(), &[ms(5_000), ms(3_000)])
+}
+
+/// An object of JSON.
+pub fn object(value: Value) -> Map<String, Value> {
+    value.as_object().cloned().unwrap_or_default()
+}
+
+/// Rules that say otherwise than the platform.
+pub fn saying(told: Value) -> RuleSet {
+    RuleSet::read(&base(), &types(), "rules", &object(told)).expect("good rules")
+}
+
+/// Lease 3 s, clock error 0.25 s, slack 0.5 s.
+pub const TERMS: Terms =
+    Terms { lease: Nanos(3_000_000_000), clock_error: Nanos(250_000_000), slack: Nanos(500_000_000) };
+
+/// A dispatcher of the small fleet; no version may say less than two pulls.
+pub fn dispatcher(terms: Terms, faults: Faults) -> Agreement {
+    let ground = Ground { base: base(), types: types(), terms, faults };
+    Agreement::new(ground, &saying(json!({"max_pulls": 2, "cold_share": 0.1})))
+}
+
+/// A version.
+pub fn issue(version: u64, after: &str, issued_ms: u64, from_ms: u64, rules: Value) -> Issue {
+    let (after, rules) = (after.to_string(), object(rules));
+    Issue { version, after, issuer: "ops".into(), issued_ms, from_ms, rules, floor: None }
+}
