Act on versions of rules: from the change log and the operator's file, lease by lease

A dispatcher took no rule before a restart, read no version of a list, and kept waiting at its number when the list service began anew.

With `agreement` in the operator's file the reducer asks before each event on which rules it acts (agreed.rs) and hands them to the decisions (settings_changed): rates, copies and downloads in hand stay, and each further pull obeys all rules that were in force since its download was taken (src/under.rs). Versions come as events of the change log, which an older program counts and passes over, and with the operator's file, read at SIGHUP and when it changes. An older list, or another one under the same version, is passed over with a line; a service that tells lower numbers for three seconds has begun anew and is asked for all. The last good list keeps versions too. Without it rules that change at SIGHUP are taken at once, with a line. `copperroute rules show|diff|check` over files; `check` prints the stated time and how long a call of the list service may wait. Off in `run`, shown by the settings' test.

--- a/agreement/src/lib.rs
+++ b/agreement/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod faults;
 pub mod issue;
 pub mod lease;
+pub mod lists;
 pub mod rules;
 pub mod terms;
--- a/dispatcher/src/changes.rs
+++ b/dispatcher/src/changes.rs
@@ -7,6 +7,18 @@
 use copperroute_protocol::changes::{Change, Decoder, Line, encode_since};
 use std::net::SocketAddr;
 
+/// So many lines in a row with a number lower than what was heard: it has begun anew.
+const BEHIND: u32 = 3;
+
+/// What it tells, in order.
+#[derive(Debug)]
+pub enum Told {
+    /// An event. Where `lost`, what lies between it and the one before was not told; what it brings stands for that.
+    Change { change: Box<Change>, lost: bool },
+    /// A second's line; `caught_up` if all that it knows of has been handed on.
+    Line { caught_up: bool },
+}
+
 /// The change log as this dispatcher follows it. When it is called, `copperroute::calls` decides.
 #[derive(Debug)]
 pub struct ChangeLog {
@@ -23,6 +35,9 @@
     doubted: Option<u64>,
     decoder: Decoder,
     calls: Calls,
+    /// Whether it has begun anew; `None` where that is not looked for.
+    anew: Option<bool>,
+    lines_behind: u32,
 }
 
 impl ChangeLog {
@@ -37,9 +52,16 @@
             doubted: None,
             decoder: Decoder::default(),
             calls,
+            anew: None,
+            lines_behind: 0,
         }
     }
 
+    /// Looks from now on for whether it begins anew, with lower numbers.
+    pub fn look_for_anew(&mut self) {
+        self.anew = Some(false);
+    }
+
     /// Whether all that it had to tell at some time since the start has been handed on.
     pub fn is_caught_up(&self) -> bool {
         self.caught_up
@@ -124,6 +146,24 @@
         }
     }
 
+    /// It tells a number lower than what was heard: at first it may not have caught up itself; for long, it has begun
+    /// anew, and all is asked for again. Returns why.
+    fn behind(&mut self, last: u64) -> Option<String> {
+        let behind = self.anew.is_some() && last < self.applied;
+        self.lines_behind = if behind { self.lines_behind + 1 } else { 0 };
+        if self.lines_behind < BEHIND {
+            return None;
+        }
+        let why = format!("at {last}, applied {}: it has begun anew", self.applied);
+        (self.applied, self.lines_behind, self.anew) = (0, 0, Some(true));
+        Some(why)
+    }
+
+    /// Whether it has begun anew since this was asked.
+    pub fn has_begun_anew(&mut self) -> bool {
+        self.anew.as_mut().is_some_and(std::mem::take)
+    }
+
     /// Bytes have come.
     pub fn received(&mut self, number: u32, bytes: &[u8]) {
         if self.open && self.connection == number {
@@ -131,8 +171,8 @@
         }
     }
 
-    /// The next event, each once and in order; nothing if there is none yet, or none to be had here.
-    pub fn next_change(&mut self, now: Nanos, effects: &mut Vec<Effect>) -> Option<Change> {
+    /// What is told next, each event once and in order; nothing if there is none yet, or none to be had here.
+    pub fn next_told(&mut self, now: Nanos, effects: &mut Vec<Effect>) -> Option<Told> {
         while self.open {
             let line = self.decoder.next_line();
             if matches!(line, Ok(Some(_)))
@@ -154,14 +194,22 @@
                     self.give_up(now, &why, effects);
                 }
                 Ok(Some(Line::Change(change))) if change.seq > self.applied => {
+                    let lost = change.seq > self.applied + 1;
                     self.applied = change.seq;
-                    return Some(*change);
+                    return Some(Told::Change { change, lost });
                 }
                 Ok(Some(Line::Last(last))) if last > self.applied => {
                     let why = format!("at {last}, applied {}", self.applied);
                     self.give_up(now, &why, effects);
                 }
-                Ok(Some(Line::Last(_))) => self.caught_up = true,
+                Ok(Some(Line::Last(last))) => {
+                    self.caught_up = true;
+                    if let Some(forgot) = self.behind(last) {
+                        self.give_up(now, &forgot, effects);
+                    } else {
+                        return Some(Told::Line { caught_up: last == self.applied });
+                    }
+                }
                 Ok(Some(Line::Change(_))) => {}
                 Ok(Some(Line::Unusable(seq, fault))) => {
                     // Once it may have been cut or mixed up on its way; for ever it would hold up all behind it.
--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config.rs
@@ -2,6 +2,9 @@
 
 use copperroute::calls::CallSettings;
 use copperroute::interface::{Settings, stable_hash};
+use copperroute_agreement::faults::Faults;
+use copperroute_agreement::issue::{Ground, Issue};
+use copperroute_agreement::rules::RuleSet;
 use copperroute_protocol::changes::Known;
 use copperroute_settings::operator::{DiskTier, LastList, Operator};
 use copperroute_settings::{Connections, Names, Offer, Options};
@@ -75,6 +78,19 @@
     pub calls: CallSettings,
     /// Where the last good list outlives a restart.
     pub last_list: Option<LastList>,
+    /// How dispatchers agree on versions of their rules; `None` if they don't.
+    pub agreeing: Option<Agreeing>,
+}
+
+/// How dispatchers agree.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Agreeing {
+    /// What versions are judged by.
+    pub ground: Ground,
+    /// The strictest that any may say.
+    pub floor: RuleSet,
+    /// Those that the operator's file brings.
+    pub issued: Vec<Issue>,
 }
 
 /// The files that a configuration is read from.
@@ -106,6 +122,8 @@
             config.calls =
                 operator.calls(config.calls).map_err(|fault| format!("{}: {fault}", path.display()))?;
             config.last_list = operator.last_list()?;
+            config.agreeing =
+                config.agreeing(&operator).map_err(|fault| format!("{}: {fault}", path.display()))?;
         }
         Ok(config)
     }
@@ -118,6 +136,20 @@
         stable_hash(format!("{} {zones:?} {kinds:?}", self.name).as_bytes())
     }
 
+    /// How dispatchers agree, as the operator's file says.
+    pub fn agreeing(&self, operator: &Operator) -> Result<Option<Agreeing>, String> {
+        let (Some(terms), Some(told)) = (operator.terms()?, &operator.agreement) else { return Ok(None) };
+        let expiries: Vec<_> = self.offers.iter().map(|offer| offer.expiry).collect();
+        let (base, types) = (RuleSet::of(&self.settings, &expiries), self.names.content_types.clone());
+        let floor = RuleSet::read(&base, &types, "agreement.floor", &told.floor)?;
+        if let Some(field) = floor.looser_than(&base) {
+            let path = field.path(&types);
+            return Err(format!("agreement.floor.{path}: looser than the platform's settings"));
+        }
+        let ground = Ground { base, types, terms, faults: faults() };
+        Ok(Some(Agreeing { ground, floor, issued: operator.issued()? }))
+    }
+
     /// Reads a configuration; an error is one line with the file, the field and what was expected.
     pub fn read(path: &Path) -> Result<Config, String> {
         let named = |what: String| format!("{}: {what}", path.display());
@@ -147,6 +179,20 @@
             disk_tier: None,
             calls: options.calls()?,
             last_list: None,
+            agreeing: None,
         })
     }
 }
+
+/// What is done wrongly on purpose: nothing, but in a build for checkers.
+#[cfg(not(feature = "faults"))]
+fn faults() -> Faults {
+    Faults::default()
+}
+
+#[cfg(feature = "faults")]
+fn faults() -> Faults {
+    use copperroute_agreement::faults::Fault;
+    let named = std::env::var("COPPERROUTE_FAULT").ok().and_then(|name| Fault::named(&name));
+    named.map_or(Faults::default(), Faults::of)
+}
--- a/dispatcher/src/event_loop.rs
+++ b/dispatcher/src/event_loop.rs
@@ -19,8 +19,9 @@
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// Bytes read from one connection in one turn, so that none holds up the others.
 const READ_AT_ONCE: usize = 256 * 1024;
@@ -28,6 +29,8 @@
 const BACKLOG: i32 = 1024;
 /// Connections accepted in one turn.
 const ACCEPTED_AT_ONCE: usize = 64;
+/// How often it is looked whether the operator's file has changed, where versions of rules come with it.
+const WATCHED: Duration = Duration::from_secs(1);
 /// Without a descriptor for a client that waits, the listener rests for so long.
 const REST: Duration = Duration::from_millis(20);
 
@@ -158,6 +161,11 @@
         .map_err(|fault| format!("list: {}: {fault}", told.folder.display()))
 }
 
+/// When a file was last changed, if it is there.
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|told| told.modified()).ok()
+}
+
 /// Serves with the configuration in these files, as it was read from them, until told to end.
 pub fn serve(sources: &Sources, mut config: Config) -> Result<(), String> {
     let said = |what: &'static str| move |fault: calloop::Error| format!("{what}: {fault}");
@@ -193,6 +201,7 @@
     let disk = open_disk(&config)?;
     let clock = Clock::start();
     let keeper = open_list(&mut config, &clock)?;
+    let watched = config.agreeing.is_some();
     let reducer = Reducer::new(config, clock.epoch());
     let mut carrier = Carrier {
         handle,
@@ -222,6 +231,16 @@
         carrier.disk = Some(Worker::start(disk, Bring(tell)));
         carrier.reduce(Event::DiskReady(&prints, marked));
     }
+    if let Some(path) = sources.operator.clone().filter(|_| watched) {
+        let mut seen = modified(&path);
+        let watch = Timer::from_duration(WATCHED);
+        let inserted = carrier.handle.insert_source(watch, move |_, _, inbox| {
+            let now = modified(&path);
+            inbox.reload |= std::mem::replace(&mut seen, now) != now;
+            TimeoutAction::ToDuration(WATCHED)
+        });
+        inserted.map_err(|fault| said("timer")(fault.error))?;
+    }
     carrier.reduce(Event::Started);
     while !carrier.stopped {
         carrier.flush_all();
--- a/dispatcher/src/last_list.rs
+++ b/dispatcher/src/last_list.rs
@@ -14,6 +14,8 @@
 const WRITTEN_ANEW: Nanos = Nanos(60_000_000_000);
 /// Clocks of one machine before and after a restart may differ by this much.
 const CLOCK_ERROR_MS: u64 = 1_000;
+/// Versions of the rules that are kept at most.
+const MOST_RULES: usize = 16;
 const MAGIC: &str = "copperroute-list 1";
 /// No list is larger; what is larger is none.
 pub const LARGEST: usize = 64 * 1024 * 1024;
@@ -26,6 +28,10 @@
     keep_purges_ms: u64,
     nodes: BTreeMap<String, Listed>,
     purges: Vec<Change>,
+    /// Versions of the rules: those to come, and the last one before.
+    rules: Vec<Change>,
+    /// The version of the list that was last told.
+    version: Option<u64>,
     seq: u64,
     heard: bool,
     changed: bool,
@@ -36,12 +42,14 @@
     /// Nothing yet, of the dispatcher with this print; old copies may lie about for so long after a purge.
     pub fn new(of: u64, keep_purges: Nanos) -> Self {
         let keep_purges_ms = keep_purges.0 / 1_000_000;
-        let (nodes, purges) = Default::default();
+        let (nodes, purges, rules) = Default::default();
         LastList {
             of,
             keep_purges_ms,
             nodes,
             purges,
+            rules,
+            version: None,
             seq: 0,
             heard: false,
             changed: false,
@@ -50,8 +58,9 @@
     }
 
     /// An event was applied.
-    pub fn applied(&mut self, change: &Change) {
+    pub fn applied(&mut self, change: &Change, unix_ms: u64) {
         if let Some(fleet) = &change.fleet {
+            self.version = self.version.max(fleet.version);
             if fleet.full {
                 self.nodes.clear();
             }
@@ -63,7 +72,17 @@
             }
         }
         if change.invalidate.is_some() {
-            self.purges.push(Change { fleet: None, ..change.clone() });
+            self.purges.push(Change { fleet: None, rules: None, agreed: None, ..change.clone() });
+        }
+        if change.rules.is_some() {
+            self.rules.push(Change { fleet: None, invalidate: None, agreed: None, ..change.clone() });
+            let acts = |change: &Change| acts_from(change) <= unix_ms;
+            // Of those that act the last is enough.
+            while self.rules.len() > 1 && self.rules.iter().take(2).all(acts) {
+                self.rules.remove(0);
+            }
+            let over = self.rules.len().saturating_sub(MOST_RULES);
+            self.rules.drain(..over);
         }
         (self.seq, self.changed) = (self.seq.max(change.seq), true);
     }
@@ -88,13 +107,19 @@
             change.invalidate.as_ref().is_some_and(|purge| purge.time + self.keep_purges_ms > unix_ms)
         };
         self.purges.retain(lies_about);
-        let fleet = Fleet { full: true, servers: self.nodes.values().cloned().collect() };
-        let list = Change { seq: self.seq, fleet: Some(fleet), invalidate: None };
-        let results = [vec![list], self.purges.clone()].concat();
+        let servers = self.nodes.values().cloned().collect();
+        let fleet = Some(Fleet { version: self.version, full: true, servers });
+        let list = Change { seq: self.seq, fleet, invalidate: None, rules: None, agreed: None };
+        let results = [vec![list], self.purges.clone(), self.rules.clone()].concat();
         Some(encode(&Known { seq: self.seq, results }, unix_ms, self.of))
     }
 }
 
+/// The Unix millisecond from which a version of the rules acts.
+fn acts_from(change: &Change) -> u64 {
+    change.rules.as_ref().and_then(|rules| rules["from_ms"].as_u64()).unwrap_or(u64::MAX)
+}
+
 /// A list as it stands in its file.
 pub fn encode(known: &Known, saved_ms: u64, of: u64) -> Vec<u8> {
     let body = serde_json::to_vec(known).unwrap_or_default();
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -1,6 +1,7 @@
 //! The dispatcher on sockets: one reducer makes every state change and calls the decisions; the event loop
 //! carries sockets, timers and signals to it and carries out the effects that it asks for.
 
+pub mod agreed;
 pub mod changes;
 pub mod clients;
 pub mod clock;
@@ -15,3 +16,4 @@
 pub mod nodes;
 pub mod phases;
 pub mod reducer;
+pub mod rules_text;
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -1,8 +1,8 @@
 //! `copperroute`: the dispatcher on sockets.
 
 use clap::{Args, Parser, Subcommand};
-use copperroute_dispatcher::config::Sources;
-use copperroute_dispatcher::event_loop;
+use copperroute_dispatcher::config::{Agreeing, Sources};
+use copperroute_dispatcher::{event_loop, rules_text};
 use copperroute_settings::operator::Operator;
 use copperroute_store::disk::inspect;
 use copperroute_store::record::Head;
@@ -38,6 +38,11 @@
         #[command(subcommand)]
         what: StoreCommand,
     },
+    /// Looks at versions of rules on which dispatchers agree.
+    Rules {
+        #[command(subcommand)]
+        what: RulesCommand,
+    },
     /// Prints the schema of the operator's file.
     Schema,
     /// Prints the version.
@@ -54,6 +59,56 @@
     Dump { folder: PathBuf },
 }
 
+#[derive(Subcommand)]
+enum RulesCommand {
+    /// Prints every field of a version.
+    Show {
+        #[command(flatten)]
+        files: Files,
+        version: PathBuf,
+    },
+    /// Prints what changes from one version to another, stricter or looser, and from when.
+    Diff {
+        #[command(flatten)]
+        files: Files,
+        /// The first; what the platform's settings say if it is left out.
+        #[arg(long)]
+        from: Option<PathBuf>,
+        to: PathBuf,
+    },
+    /// Prints the stated time, and whether each of a row of versions would be taken; ends with 1 if one would not.
+    Check {
+        #[command(flatten)]
+        files: Files,
+        versions: Vec<PathBuf>,
+    },
+}
+
+/// Looks at versions of rules.
+fn rules(what: RulesCommand) -> Result<(), (u8, String)> {
+    let bad = |fault: String| (UNUSABLE, fault);
+    let agreeing = |files: Files| -> Result<Agreeing, (u8, String)> {
+        let config = Sources { config: files.config, operator: files.operator }.read().map_err(bad)?;
+        config.agreeing.ok_or_else(|| bad("the operator's file names no agreement".into()))
+    };
+    let text = match what {
+        RulesCommand::Show { files, version } => {
+            rules_text::show(&agreeing(files)?, &rules_text::read(&version).map_err(bad)?).map_err(bad)?
+        }
+        RulesCommand::Diff { files, from, to } => {
+            let from = from.map(|path| rules_text::read(&path)).transpose().map_err(bad)?;
+            rules_text::diff(&agreeing(files)?, from.as_ref(), &rules_text::read(&to).map_err(bad)?)
+                .map_err(bad)?
+        }
+        RulesCommand::Check { files, versions } => {
+            let issues: Result<Vec<_>, _> = versions.iter().map(|path| rules_text::read(path)).collect();
+            rules_text::check(&agreeing(files)?, &issues.map_err(bad)?).map_err(|why| (FAILED, why))?
+        }
+    };
+    let _ = write!(std::io::stdout(), "{text}");
+    Ok(())
+}
+
 /// Reads a store's log without changing it.
 fn look(what: StoreCommand) -> Result<(), (u8, String)> {
     let (folder, dump) = match &what {
@@ -117,6 +172,7 @@
         // Who reads no further than a part of it is not told.
         Command::Schema => drop(writeln!(std::io::stdout(), "{:#}", Operator::schema())),
         Command::Store { what } => look(what)?,
+        Command::Rules { what } => rules(what)?,
         Command::Check(files) => {
             let (sources, config) = read(files)?;
             println!(
@@ -129,6 +185,19 @@
             if let Some(path) = sources.operator {
                 let storms = if config.settings.storms.is_some() { "on" } else { "off" };
                 println!("{}: storms {storms}", path.display());
+                if let (Some(bears), Ok(longest)) = (config.calls.calls_per_s, config.calls.within()) {
+                    println!(
+                        "{}: lists: {} dispatchers, {bears} calls a second, none waits longer than {:.1} s",
+                        path.display(),
+                        config.calls.dispatchers,
+                        longest.secs()
+                    );
+                }
+                if let Some(agreeing) = &config.agreeing {
+                    let stated =
+                        rules_text::check(agreeing, &agreeing.issued).map_err(|why| (UNUSABLE, why))?;
+                    print!("{}: agreement: {stated}", path.display());
+                }
             }
         }
         Command::Serve(files) => {
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -1,10 +1,11 @@
 //! The reducer: every state change happens here, in answer to an event. What is to be read, written,
 //! connected or timed comes out as effects, which the event loop carries out.
 
-use crate::changes::ChangeLog;
+use crate::agreed::Agreed;
+use crate::changes::{ChangeLog, Told};
 use crate::clients::MOST_OPEN;
 use crate::clock::Epoch;
-use crate::config::Config;
+use crate::config::{Agreeing, Config};
 use crate::copies::{self, Copies, Offered, Own};
 use crate::desk::Desk;
 use crate::effects::{Due, Effect, Event, Peer};
@@ -16,10 +17,11 @@
 use copperroute::conduct::{Conduct, MOST_IDS, Verdict};
 use copperroute::decide::Dispatcher;
 use copperroute::interface::{
-    DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, TypeId, ZoneId, mix,
+    DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, Settings, TypeId, ZoneId, mix,
     stable_hash,
 };
 use copperroute::opening::Opening;
+use copperroute_agreement::rules::RuleSet;
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
 use copperroute_protocol::hex::Hex;
@@ -67,6 +69,12 @@
     marked: u64,
     /// What is kept of the change log over a restart, where it is.
     last_list: Option<LastList>,
+    /// What is held of the agreement on rules, where there is one.
+    agreed: Option<Agreed>,
+    /// The settings under the rules in force.
+    settings: Settings,
+    /// The longest that a client waits for each content type, under the rules in force.
+    expiries: Vec<Nanos>,
     /// Lines that clients cause.
     complaints: Sparse,
     /// What clients have shown of themselves.
@@ -86,7 +94,15 @@
         desk.keeps_copies = copies.is_some();
         let purges = s.purge_done.after(s.purge_notice);
         let last_list = config.last_list.as_ref().map(|_| LastList::new(config.print(), purges));
+        let agreed = config.agreeing.as_ref().map(|agreeing| Agreed::new(agreeing, &config));
+        let mut log = ChangeLog::new(config.changelog, config.known.seq, calls);
+        if agreed.is_some() {
+            log.look_for_anew();
+        }
         Reducer {
+            agreed,
+            settings: config.settings.clone(),
+            expiries: config.offers.iter().map(|offer| offer.expiry).collect(),
             copies,
             last_list,
             reading: HashMap::new(),
@@ -94,7 +110,7 @@
             life: Life::default(),
             module: Dispatcher::new(config.settings.clone()),
             desk,
-            log: ChangeLog::new(config.changelog, config.known.seq, calls),
+            log,
             epoch,
             last_requests: false,
             drained: false,
@@ -128,6 +144,7 @@
     /// Changes the state as the event asks, and returns what is to be done.
     pub fn reduce(&mut self, now: Nanos, event: Event<'_>) -> Vec<Effect> {
         self.desk.now = now;
+        self.obey(now);
         match event {
             Event::Started => self.start(now),
             Event::Accepted(number, from) => {
@@ -143,13 +160,25 @@
                 }
             }
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
-            Event::Connected(Peer::ChangeLog(number)) => self.log.connected(number, &mut self.desk.effects),
+            Event::Connected(Peer::ChangeLog(number)) => {
+                self.agreed.iter_mut().for_each(|agreed| agreed.asked(now));
+                self.log.connected(number, &mut self.desk.effects);
+            }
             Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
             Event::Received(Peer::Node(number), bytes) => self.desk.node_received(number, bytes),
             Event::Received(Peer::ChangeLog(number), bytes) => {
                 self.log.received(number, bytes);
-                while let Some(change) = self.log.next_change(now, &mut self.desk.effects) {
-                    self.apply(now, &change);
+                while let Some(told) = self.log.next_told(now, &mut self.desk.effects) {
+                    match told {
+                        Told::Change { change, lost } => self.apply(now, &change, lost),
+                        Told::Line { caught_up } => {
+                            self.agreed.iter_mut().for_each(|agreed| agreed.line(now, caught_up));
+                        }
+                    }
+                    self.obey(now);
+                }
+                if self.log.has_begun_anew() {
+                    self.agreed.iter_mut().for_each(Agreed::begun_anew);
                 }
                 if self.log.is_caught_up() {
                     self.copies.iter_mut().for_each(Copies::caught_up);
@@ -215,11 +244,24 @@
         }
     }
 
+    /// Before each decision: the rules that are in force by now. Leases run out, and moments come, between events.
+    fn obey(&mut self, now: Nanos) {
+        let Some(agreed) = &mut self.agreed else { return };
+        if let Some((settings, expiries)) = agreed.look(now, self.epoch.unix_ms(now)) {
+            self.module.settings_changed(&settings);
+            (self.settings, self.expiries) = (settings, expiries);
+        }
+    }
+
     fn start(&mut self, now: Nanos) {
         self.module.start(now, &mut self.desk);
         for change in std::mem::take(&mut self.config.known.results) {
-            self.apply(now, &change);
+            self.apply(now, &change, false);
+        }
+        if let (Some(agreed), Some(agreeing)) = (&mut self.agreed, &self.config.agreeing) {
+            agreed.issued(now, self.epoch.unix_ms(now), &agreeing.issued);
         }
+        self.obey(now);
         let has_list = self.life.phase() == Phase::Serving;
         self.log.start(has_list, now, &mut self.desk.effects);
         self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
@@ -283,14 +325,24 @@
     }
 
     /// Takes what can change while downloads are open: where the change log is, and what the machine and the
-    /// nodes' connections bear. What the decisions were built on stays until a restart, which is said. Events
-    /// that the file knows are not applied: the change log tells all from the last that was.
+    /// nodes' connections bear, and rules: at once where there are no versions of them, else those versions that the
+    /// file brings. What else the decisions were built on stays until a restart, which is said. Events that the file
+    /// knows are not applied: the change log tells all from the last that was.
     fn reload(&mut self, now: Nanos, new: &Config) {
         let old = &mut self.config;
+        let rules = RuleSet::of(&new.settings, &self.expiries);
+        let only_rules = rules.apply(&old.settings, &self.expiries).0 == new.settings;
+        let (versions, differ) = (self.agreed.is_some(), new.settings != old.settings);
+        let ground = |agreeing: &Agreeing| (agreeing.ground.clone(), agreeing.floor.clone());
         let kept = [
             ("name", new.name != old.name),
             ("listen", new.listen != old.listen),
-            ("seed or settings", new.settings != old.settings),
+            ("seed or settings other than rules", !only_rules),
+            ("rules outside of versions", only_rules && versions && differ),
+            (
+                "how rules are agreed on",
+                old.agreeing.as_ref().map(ground) != new.agreeing.as_ref().map(ground),
+            ),
             ("where the last list is kept", new.last_list != old.last_list),
             (
                 "what own copies may take",
@@ -301,6 +353,14 @@
         for (what, _) in kept.iter().filter(|(_, differs)| *differs) {
             log::warn!("configuration: {what} can't change before a restart");
         }
+        if only_rules && differ && !versions {
+            log::warn!("rules: others than before, without a version: others may act on the old ones");
+            self.module.settings_changed(&new.settings);
+            (self.settings, old.settings) = (new.settings.clone(), new.settings.clone());
+        }
+        if let (Some(agreed), Some(agreeing)) = (&mut self.agreed, &new.agreeing) {
+            agreed.issued(now, self.epoch.unix_ms(now), &agreeing.issued);
+        }
         (old.limits, old.connections, old.changelog) = (new.limits, new.connections, new.changelog);
         self.desk.limit(new.connections, new.limits);
         old.calls = new.calls;
@@ -389,7 +449,7 @@
         }
     }
 
-    fn download(&mut self, now: Nanos, client: u32, tag: u64, request: Request) {
+    fn download(&mut self, now: Nanos, client: u32, tag: u64, mut request: Request) {
         let id = stable_hash(request.id.as_str().as_bytes());
         let content_type = match (self.conduct.judge(now, id), self.usable(&request)) {
             (Verdict::Take, Ok(content_type)) => content_type,
@@ -402,8 +462,11 @@
                 return self.desk.write(client, tag, Answer::Abandoned);
             }
         };
+        // Under a rule that came later a client waits no longer, whatever it asked for.
+        let most_ms = self.expiries[content_type as usize].0.div_ceil(1_000_000);
+        request.timeout_ms = request.timeout_ms.min(most_ms);
         let of_copies = !self.config.offers[content_type as usize].writes;
-        let once = self.config.settings.content_types[content_type as usize].repeat != Repeat::Retriable;
+        let once = self.settings.content_types[content_type as usize].repeat != Repeat::Retriable;
         let object_hash = stable_hash(request.object.as_str().as_bytes());
         let (part, group) = (request.part, request.group);
         let (repeat, size_kb) = (request.repeat, request.size_kb);
@@ -458,7 +521,7 @@
         let dl = DlId((at >> 32) as u32);
         let asked = self.reading.get(&dl.0).filter(|reading| ticket(dl, reading.serial) == at);
         let (Some(Reading { download, key, .. }), Some(copies)) = (asked, &mut self.copies) else { return };
-        let target = self.config.settings.content_types[download.content_type.0 as usize].target_time;
+        let target = self.settings.content_types[download.content_type.0 as usize].target_time;
         let held = self.desk.asked_for(dl).and_then(|asked| asked.2);
         let own = copies.read([now, target], self.epoch.unix_ms(now), key, held, copy);
         let Some(own) = own else { return self.go_on(now, dl) };
@@ -485,7 +548,7 @@
         let copies = self.copies.as_mut()?;
         let (object, part, held) = self.desk.asked_for(dl)?;
         let key = copies::key(download.content_type.0, object, part)?;
-        let target = self.config.settings.content_types[download.content_type.0 as usize].target_time;
+        let target = self.settings.content_types[download.content_type.0 as usize].target_time;
         copies.serve(now, self.epoch.unix_ms(now), &key, held, target)
     }
 
@@ -505,9 +568,19 @@
 
     // The change log.
 
-    fn apply(&mut self, now: Nanos, change: &Change) {
-        self.last_list.iter_mut().for_each(|list| list.applied(change));
-        if let Some(fleet) = &change.fleet {
+    fn apply(&mut self, now: Nanos, change: &Change, lost: bool) {
+        let unix_ms = self.epoch.unix_ms(now);
+        let takes_list = match &mut self.agreed {
+            Some(agreed) => {
+                agreed.event(now, unix_ms, change, lost);
+                agreed.takes_list(now, change)
+            }
+            None => true,
+        };
+        if takes_list || change.fleet.is_none() {
+            self.last_list.iter_mut().for_each(|list| list.applied(change, unix_ms));
+        }
+        if let Some(fleet) = change.fleet.as_ref().filter(|_| takes_list) {
             self.list(now, fleet);
         }
         if let Some(Purge { object, bucket, time }) = &change.invalidate {
--- /dev/null
+++ b/dispatcher/tests/dispatcher/rules_text.rs
@@ -0,0 +1,104 @@
+//! Versions as staff read them.
+
+use crate::common::CONFIG;
+use copperroute_agreement::issue::{Issue, written_digest};
+use copperroute_dispatcher::config::{Agreeing, Config};
+use copperroute_dispatcher::rules_text::{check, diff, show};
+use copperroute_settings::operator::Operator;
+use expect_test::expect;
+use serde_json::{Value, json};
+
+fn agreeing() -> Agreeing {
+    let operator = json!({"agreement": {"floor": {"max_pulls": 2, "cold_share": 0.1}}}).to_string();
+    let config = Config::parse(CONFIG).expect("a good configuration");
+    config.agreeing(&Operator::parse(&operator).expect("good")).expect("good").expect("an agreement")
+}
+
+fn version(version: u64, after: &str, ahead_ms: u64, rules: Value) -> Issue {
+    let issued_ms = 1_000_000 * version;
+    let told = json!({"version": version, "after": after, "issuer": "ops", "issued_ms": issued_ms,
+        "from_ms": issued_ms + ahead_ms, "rules": rules});
+    Issue::read(&told).expect("a version")
+}
+
+#[test]
+fn a_version_and_what_it_changes() {
+    let (agreeing, first) =
+        (agreeing(), version(1, "", 4_000, json!({"max_pulls": 3, "types": {"image": {"expiry_s": 1}}})));
+    let second = version(2, &written_digest(1, first.digest()), 4_000, json!({"max_pulls": 2}));
+    let said =
+        [show(&agreeing, &first), diff(&agreeing, None, &first), diff(&agreeing, Some(&first), &second)];
+    expect![[r#"
+        version 1 of 'ops', digest 337c5a666c14f98d, issued at 1000000 ms, acts from 1004000 ms
+        max_pulls: 3, platform 6, floor 2
+        cold_share: 0.2, floor 0.1
+        cold_s: 15.0
+        cold_falls_at: 2.5
+        parent_cold_share: 0.07
+        parent_cold_s: 20.0
+        parent_falls_at: 2.0
+        past_caches: true
+        from_other_locations: false
+        purge_done_s: 6.0
+        purge_notice_s: 1.0
+        types.image.repeat: "retriable"
+        types.image.expiry_s: 1.0, platform 5.0, floor 5.0
+        types.image.fresh_for_s: null
+        types.post.repeat: "non-retriable"
+        types.post.expiry_s: 3.0
+        types.post.fresh_for_s: null
+
+        from version 0 to version 1
+        max_pulls: 6 to 3, stricter, once it is heard
+        types.image.expiry_s: 5.0 to 1.0, stricter, once it is heard
+
+        from version 1 to version 2
+        max_pulls: 3 to 2, stricter, once it is heard
+        types.image.expiry_s: 1.0 to 5.0, looser, from 2004000 ms
+    "#]]
+    .assert_eq(&said.map(|said| said.unwrap_or_else(|why| why)).join("\n"));
+}
+
+#[test]
+fn which_of_a_row_would_be_taken_and_what_to_do_where_not() {
+    let (agreeing, first) = (agreeing(), version(1, "", 4_000, json!({"max_pulls": 3})));
+    let after = written_digest(1, first.digest());
+    let said = [
+        check(&agreeing, &[first.clone(), version(2, &after, 4_000, json!({}))]),
+        check(&agreeing, &[first.clone(), version(2, &after, 3_000, json!({}))]),
+        check(&agreeing, &[first.clone(), version(2, "", 4_000, json!({}))]),
+        check(&agreeing, &[first.clone(), version(2, &after, 4_000, json!({"max_pulls": 1}))]),
+        check(&agreeing, &[first.clone(), version(1, "", 4_000, json!({}))]),
+        check(&agreeing, &[version(1, "", 4_000, json!({"max_pulls": 9}))]),
+    ];
+    let said = said.map(|said| said.unwrap_or_else(|why| format!("refused: {why}\n")));
+    expect![[r#"
+        no two act on rules that contradict each other for longer than 3.75 s: lease 3 s, clocks 0.25 s, ways 0.5 s
+        version 1: good, digest 756652ea1d3e641b
+        version 2: good, digest 11e45330f81a4d47
+
+        refused: no two act on rules that contradict each other for longer than 3.75 s: lease 3 s, clocks 0.25 s, ways 0.5 s
+        version 1: good, digest 756652ea1d3e641b
+        version 2: from_ms: 3000 ms after issued_ms; expected 3750 at least
+        to do: from_ms 2003750 or later
+
+        refused: no two act on rules that contradict each other for longer than 3.75 s: lease 3 s, clocks 0.25 s, ways 0.5 s
+        version 1: good, digest 756652ea1d3e641b
+        version 2: version 2 follows '', held is '756652ea1d3e641b'
+        to do: after '756652ea1d3e641b'
+
+        refused: no two act on rules that contradict each other for longer than 3.75 s: lease 3 s, clocks 0.25 s, ways 0.5 s
+        version 1: good, digest 756652ea1d3e641b
+        version 2: max_pulls: stricter than the floor allows
+        to do: not in one step; a floor that allows for it in the operators' file and a restart of all, then this version
+
+        refused: no two act on rules that contradict each other for longer than 3.75 s: lease 3 s, clocks 0.25 s, ways 0.5 s
+        version 1: good, digest 756652ea1d3e641b
+        version 1: from_ms: 1004000; expected more than 1004000, of the version before it
+        to do: from_ms 1004001 or later
+
+        refused: no two act on rules that contradict each other for longer than 3.75 s: lease 3 s, clocks 0.25 s, ways 0.5 s
+        version 1: max_pulls: looser than the platform's settings
+        to do: the platform's settings and a restart of all, then this version
+    "#]].assert_eq(&said.join("\n"));
+}
--- a/protocol/src/changes.rs
+++ b/protocol/src/changes.rs
@@ -55,6 +55,9 @@
 /// News of the list of nodes.
 #[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
 pub struct Fleet {
+    /// The list's version; it only grows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
     /// The whole list: what is not in it has gone.
     #[serde(default)]
     pub full: bool,
@@ -82,6 +85,12 @@
     pub fleet: Option<Fleet>,
     /// A purge.
     pub invalidate: Option<Purge>,
+    /// A version of the rules, as its issuer wrote it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rules: Option<serde_json::Value>,
+    /// With a whole list: the number of the last version of the rules by then, 0 for none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub agreed: Option<u64>,
 }
 
 /// The events up to the start.
--- a/protocol/tests/codecs.rs
+++ b/protocol/tests/codecs.rs
@@ -248,10 +248,10 @@
 "#;
     expect![[r#"
         Last(41)
-        Change(Change { seq: 42, fleet: Some(Fleet { full: false, servers: [Listed { id: "s-1", addr: Some(10.1.0.9:5050), zone: "east", kind: "std", cell: Some(2), state: Leaving, weight: Some(4.0), started_ms: Some(0) }] }), invalidate: None })
-        Change(Change { seq: 43, fleet: None, invalidate: Some(Purge { object: Some("7f3a"), bucket: None, time: 1764576000123 }) })
-        Change(Change { seq: 44, fleet: None, invalidate: Some(Purge { object: None, bucket: Some(17), time: 1764576000480 }) })
-        Change(Change { seq: 45, fleet: None, invalidate: None })
+        Change(Change { seq: 42, fleet: Some(Fleet { version: Some(7), full: false, servers: [Listed { id: "s-1", addr: Some(10.1.0.9:5050), zone: "east", kind: "std", cell: Some(2), state: Leaving, weight: Some(4.0), started_ms: Some(0) }] }), invalidate: None, rules: None, agreed: None })
+        Change(Change { seq: 43, fleet: None, invalidate: Some(Purge { object: Some("7f3a"), bucket: None, time: 1764576000123 }), rules: None, agreed: None })
+        Change(Change { seq: 44, fleet: None, invalidate: Some(Purge { object: None, bucket: Some(17), time: 1764576000480 }), rules: None, agreed: None })
+        Change(Change { seq: 45, fleet: None, invalidate: None, rules: None, agreed: None })
         Unusable(46, "unknown variant `gone fishing`, expected one of `active`, `leaving`, `left` at line 1 column 64")
     "#]].assert_eq(&decoded!(changes::Decoder, next_line, bytes));
 }
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -3,6 +3,8 @@
 use crate::Read;
 use copperroute::calls::CallSettings;
 use copperroute::interface::{Nanos, StormSettings};
+use copperroute_agreement::issue::Issue;
+use copperroute_agreement::terms::Terms;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
@@ -17,6 +19,42 @@
     pub copies: Option<Copies>,
     /// What the list service (the change log) bears; absent: it is called soon, and more rarely the longer it is away.
     pub lists: Option<Lists>,
+    /// Dispatchers agree on versions of their rules; absent: rules change with a restart, or as the files are read again.
+    pub agreement: Option<Agreement>,
+}
+
+/// Versions of rules on which dispatchers agree. All of them must be told the same.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Agreement {
+    /// For so many seconds after a line of the list service that told nothing new a dispatcher is up to date.
+    #[serde(default = "lease_s")]
+    #[schemars(range(min = 1, max = 3600))]
+    pub lease_s: f64,
+    /// The clocks of any two of issuers and dispatchers differ by no more than so many seconds.
+    #[serde(default = "clock_error_s")]
+    #[schemars(range(min = 0.001, max = 3600))]
+    pub clock_error_s: f64,
+    /// From issue to service, and from service to dispatcher, a version or a line takes no more than so many seconds.
+    #[serde(default = "slack_s")]
+    #[schemars(range(min = 0.01, max = 3600))]
+    pub slack_s: f64,
+    /// The strictest that any version may say; what it does not name no version can tighten.
+    #[serde(default)]
+    pub floor: serde_json::Map<String, serde_json::Value>,
+    /// Versions that come with this file; others come with the change log.
+    #[serde(default)]
+    pub issued: Vec<serde_json::Value>,
+}
+
+fn lease_s() -> f64 {
+    3.0
+}
+fn clock_error_s() -> f64 {
+    0.25
+}
+fn slack_s() -> f64 {
+    0.5
 }
 
 /// The list service, and what is kept of it.
@@ -192,6 +230,8 @@
             CallSettings { dispatchers: 1, calls_per_s: None, told_after: Nanos::ZERO, part: [0.0, 1.0] };
         file.calls(one)?;
         file.last_list()?;
+        file.terms()?;
+        file.issued()?;
         Ok(file)
     }
 
@@ -258,6 +298,24 @@
         Ok(Some(told.clone()))
     }
 
+    /// What is stated of clocks and ways for the agreement, checked.
+    pub fn terms(&self) -> Read<Option<Terms>> {
+        let Some(told) = &self.agreement else { return Ok(None) };
+        let terms = Terms {
+            lease: Nanos::from_secs(told.lease_s),
+            clock_error: Nanos::from_secs(told.clock_error_s),
+            slack: Nanos::from_secs(told.slack_s),
+        };
+        terms.check().map(|()| Some(terms)).map_err(|fault| format!("agreement.{fault}"))
+    }
+
+    /// The versions of rules that come with the file.
+    pub fn issued(&self) -> Read<Vec<Issue>> {
+        let told = self.agreement.iter().flat_map(|told| &told.issued).enumerate();
+        let read = |(at, told)| Issue::read(told).map_err(|fault| format!("agreement.issued.{at}.{fault}"));
+        told.map(read).collect()
+    }
+
     /// The schema of the file.
     pub fn schema() -> serde_json::Value {
         schemars::schema_for!(Operator).to_value()
@@ -274,7 +332,7 @@
         let told = include_str!("../../deploy/platform.json");
         let platform = Operator::parse(told).expect("a good file");
         assert_eq!((platform.disk_tier(), platform.last_list()), (Ok(None), Ok(None)));
-        assert_eq!(platform.lists, None);
+        assert_eq!((platform.lists, platform.agreement), (None, None));
         let run = include_str!("../../deploy/balancer.toml").lines().find(|line| line.starts_with("run"));
         let run = run.unwrap_or_default();
         // One process, by exec, with that file alone.
@@ -306,6 +364,11 @@
             r#"{"lists":{"calls":60}}"#,
             r#"{"lists":{"calls_per_s":60,"dispatchers":900}}"#,
             r#"{"lists":{"calls_per_s":60,"dispatchers":300}}"#,
+            r#"{"agreement":{}}"#,
+            r#"{"agreement":{"lease_s":1}}"#,
+            r#"{"agreement":{"leases_s":3}}"#,
+            r#"{"agreement":{"issued":[{"version":1}]}}"#,
+            r#"{"agreement":{"issued":[{"version":1,"issuer":"ops","issued_ms":1,"from_ms":9,"rules":{},"flor":{}}]}}"#,
             r#"{"storms":{}} {}"#,
             r#"{"storms":{"#,
         ];
@@ -320,7 +383,7 @@
             {"storms":{"newcomers":0.95}}: storms.newcomers: 0.95 is no part of the pace; expected 0 to 0.9
             {"storms":{"remember_s":"long"}}: storms.remember_s: invalid type: string "long", expected f64 at line 1 column 30
             {"storms":{"slotz":5}}: storms.slotz: unknown field `slotz`, expected one of `remember_s`, `most_remembered`, `slots`, `newcomers`, `clients_mark`, `unknown_repeats` at line 1 column 18
-            {"storm":{}}: storm: unknown field `storm`, expected one of `storms`, `copies`, `lists` at line 1 column 8
+            {"storm":{}}: storm: unknown field `storm`, expected one of `storms`, `copies`, `lists`, `agreement` at line 1 column 8
             {"copies":{"memory_mb":0}}: copies.memory_mb: 0 is no number of megabytes; expected 1 to 1000000
             {"copies":{}}: copies: missing field `memory_mb` at line 1 column 12
             {"copies":{"memory_mb":1,"disk":{"folder":"d","most_mb":8}}}: copies.disk.segment_mb: 16 is no number of megabytes; expected 1 to 4
@@ -333,6 +396,11 @@
             {"lists":{"calls":60}}: lists.calls: unknown field `calls`, expected one of `calls_per_s`, `dispatchers`, `told_after_s`, `keep` at line 1 column 17
             {"lists":{"calls_per_s":60,"dispatchers":900}}: lists.calls_per_s: with 60 calls a second 900 dispatchers are not all heard within 7 s; expected 173.1 at least
             {"lists":{"calls_per_s":60,"dispatchers":300}}: good
+            {"agreement":{}}: good
+            {"agreement":{"lease_s":1}}: agreement.lease_s: 1 is no number of seconds that can hold; expected 2 to 3600: a line comes each second, and may take slack_s longer than the one before
+            {"agreement":{"leases_s":3}}: agreement.leases_s: unknown field `leases_s`, expected one of `lease_s`, `clock_error_s`, `slack_s`, `floor`, `issued` at line 1 column 24
+            {"agreement":{"issued":[{"version":1}]}}: agreement.issued.0.missing field `issuer`
+            {"agreement":{"issued":[{"version":1,"issuer":"ops","issued_ms":1,"from_ms":9,"rules":{},"flor":{}}]}}: agreement.issued.0.flor: unknown field `flor`, expected one of `version`, `after`, `issuer`, `issued_ms`, `from_ms`, `rules`, `floor`
             {"storms":{}} {}: trailing characters at line 1 column 15
             {"storms":{: storms.?: EOF while parsing an object at line 1 column 11
         "#]].assert_eq(&said.concat());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,6 +13,7 @@
 use crate::spare::Origin;
 use crate::state::*;
 use crate::storm::{Admission, Storm, Supply};
+use crate::under::Under;
 
 // MC3's open choices, and the starting values of the design page.
 const TABLE: usize = 20_000; // shadow entries
@@ -97,6 +98,13 @@
         }
     }
 
+    /// The rules have changed. What was learnt and what is in hand stays; seed, places and storms are as at the start.
+    pub fn settings_changed(&mut self, s: &Settings) {
+        self.dls.iter_mut().for_each(|dl| dl.under = dl.under.and(s, dl.d.content_type));
+        self.types.iter_mut().zip(&s.content_types).for_each(|(row, told)| row.told = told.clone());
+        self.s = Settings { seed: self.s.seed, storms: self.s.storms, ..s.clone() };
+    }
+
     /// The dispatcher comes up.
     pub fn start(&mut self, _now: Nanos, out: &mut impl Outbox) {
         if self.s.list_is_asked {
@@ -116,7 +124,7 @@
         let told = d.size_kb.filter(|_| self.s.client_kb_per_s > 0.0).map(|kb| kb / self.s.client_kb_per_s);
         // Where sizes are not told, what its object took, or its content type takes, stands in.
         let work_s = told.or(seen).unwrap_or(self.row(d).mean_work_s);
-        self.dls.put(d.dl.0, Dl::new(*d, work_s, keep));
+        self.dls.put(d.dl.0, Dl::new(*d, work_s, keep, Under::new(&self.s, d.content_type)));
         self.admit(now, d, work_s, out);
     }
 
@@ -492,7 +500,7 @@
     fn may_repeat_at(&self, now: Nanos, dl: &Dl, id: NodeId) -> bool {
         let Some((sent, first)) = dl.may_have_run else { return true };
         let (Some(a), Some(b)) = (self.nodes.get(first), self.nodes.get(id)) else { return false };
-        match self.row(&dl.d).told.repeat {
+        match dl.under.repeat() {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
             Repeat::Deduped { window, .. } if now.since(sent) >= window => false,
@@ -563,13 +571,14 @@
             let in_time = dl.d.expires.since(now).secs() > dl.work_s;
             let storm = self.storm.as_ref().map_or(1.0, |storm| storm.further(dl.d.content_type));
             let pulls = dl.pulls.len() + usize::from(dl.claim.spent);
-            let allowed = in_time && pulls < self.s.max_pulls as usize;
+            let most = dl.under.max_pulls();
+            let allowed = in_time && pulls < most;
             // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
             let nowhere = (end.outcome == NotHeld && !missed && !lacks) || end.remark == Remark::OriginFailed;
             // The look after it leaves room for a fill of its own.
             let wait = if dl.rides.is_some() { self.fill_usual_s * (0.5 + self.chance.share()) } else { 0.0 };
             let in_time = dl.d.expires.since(now).secs() > wait + dl.work_s;
-            let rides = allowed && dl.rides.is_some() && in_time && pulls + 2 <= self.s.max_pulls as usize;
+            let rides = allowed && dl.rides.is_some() && in_time && pulls + 2 <= most;
             self.dls.get_mut(id.0).filter(|_| !rides).into_iter().for_each(|dl| dl.rides = None);
             if rides {
                 out.arm(Nanos::from_secs(wait), u64::from(id.0) << 32 | u64::from(LOOK_AGAIN));
@@ -585,7 +594,7 @@
     /// Gives up at once: throttled where trying again is harmless, else abandoned.
     fn give_up(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get(id.0) else { return };
-        let harmless = match self.row(&dl.d).told.repeat {
+        let harmless = match dl.under.repeat() {
             Repeat::Retriable | Repeat::Deduped { scope: DedupScope::All, .. } => true,
             _ => dl.may_have_run.is_none(),
         };
@@ -771,7 +780,7 @@
             self.mark(now, silent, false, false, out);
         }
         let aside = self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
-        let retriable = |dl: &&Dl| self.row(&dl.d).told.repeat == Repeat::Retriable;
+        let retriable = |dl: &&Dl| dl.under.repeat() == Repeat::Retriable;
         let stuck = self.dls.iter().filter(|dl| aside && dl.stage == Stage::Pulling).filter(retriable);
         for id in stuck.map(|dl| dl.d.dl).collect::<Vec<_>>() {
             self.call_off(id, Some(silent), out);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod spare;
 pub mod state;
 pub mod storm;
+pub mod under;
 pub mod wheel;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 use crate::interface::{ContentType, Download, Nanos, NodeEntry, NodeId, ObjectId, Readiness, ZoneId};
 use crate::recent::Recent;
 use crate::ring::Ring;
+use crate::under::Under;
 
 /// Values at small indices.
 #[derive(Debug, Clone)]
@@ -163,15 +164,17 @@
     pub erred_at: Option<NodeId>,
     /// What the storm module noted.
     pub claim: Claim,
+    /// The rules that it was taken under.
+    pub under: Under,
 }
 
 impl Dl {
-    /// A download just taken, with its sending time and what MC3 says.
-    pub fn new(d: Download, work_s: f64, keep: Keep) -> Self {
+    /// A download just taken, with its sending time, what MC3 says, and the rules that it is taken under.
+    pub fn new(d: Download, work_s: f64, keep: Keep, under: Under) -> Self {
         let (pulls, stage) = (Vec::new(), Stage::Taken);
         let claim = Claim::default();
         let (missed_at, rides, may_have_run, erred_at) = (None, None, None, None);
-        Dl { d, stage, work_s, keep, pulls, missed_at, rides, may_have_run, erred_at, claim }
+        Dl { d, stage, work_s, keep, pulls, missed_at, rides, may_have_run, erred_at, claim, under }
     }
 }
 
--- a/src/under.rs
+++ b/src/under.rs
@@ -31,10 +31,7 @@
     /// Both these and what is in force.
     pub fn and(self, s: &Settings, content_type: TypeId) -> Under {
         let other = Under::new(s, content_type);
-        Under {
-            repeat: stricter(self.repeat, other.repeat),
-            max_pulls: self.max_pulls.min(other.max_pulls),
-        }
+        Under { repeat: stricter(self.repeat, other.repeat), max_pulls: self.max_pulls.min(other.max_pulls) }
     }
 
     /// Whether it may run again.
