Play versions of rules against real dispatchers, and judge by what came to nodes

Cause: the agreement was shown by its core alone. An older program in half of the fleet is found out by the same judge.

Seen in the first play: after a held link a version counted as told at once and the clock as off, until the next event; what came late on its way is no clock (lease.rs, is_live). Now a clock counts as ahead only beyond what lines that come in time allow.

--- a/agreement/src/core.rs
+++ b/agreement/src/core.rs
@@ -147,10 +147,10 @@
     /// the clocks differ by no more than was stated, or one is off.
     pub fn told_at(&mut self, now: Nanos, unix_ms: u64, happened_ms: u64) {
         let error_ms = self.ground.terms.clock_error.0 / 1_000_000;
-        let slack_ms = self.ground.terms.slack.0 / 1_000_000;
-        let live = self.lease.left(now) > Nanos::ZERO;
         let behind = happened_ms > unix_ms + error_ms;
-        let ahead = live && unix_ms > happened_ms + error_ms + slack_ms;
+        // What came late on its way looks as if the clock were ahead: lines that came in time bound that.
+        let live = self.lease.is_live(now);
+        let ahead = live && unix_ms > happened_ms + error_ms + self.lease.latest().0 / 1_000_000;
         if behind || ahead || live {
             self.changed |= self.clock_off != (behind || ahead);
             self.clock_off = behind || ahead;
--- a/agreement/src/lease.rs
+++ b/agreement/src/lease.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// Whether lines come as they should: nothing that comes now has waited on its way for longer than `latest`.
+    pub fn is_live(&self, now: Nanos) -> bool {
+        self.until > now && now >= self.queued_until && now.since(self.came) <= LINE.after(self.slack)
+    }
+
+    /// The longest that something may have waited on its way while lines come as they should.
+    pub fn latest(&self) -> Nanos {
+        LINE.after(self.slack).after(self.slack)
+    }
+
     /// What was lost may have held anything: it holds no more.
     pub fn end(&mut self) {
         self.until = Nanos::ZERO;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -167,6 +167,10 @@
                 format!("{pulls}, {looks}, {}, {}", sum(|t| t.parent_fills), sum(|t| t.origin_fills))
             }),
         ),
+        (
+            "versions of rules; pulls that the one in force forbade, for how long at most, s",
+            each(&|o| format!("{}; {}, {:.2}", o.agreed.versions, o.agreed.forbidden, o.agreed.longest_s)),
+        ),
         ("MB that the origin gave out", each(&|o| format!("{:.2}", o.traffic[0] as f64 / 1e6))),
         ("pulls at nodes", each(&|o| o.traffic[1].to_string())),
         ("CPU of the dispatchers, s", each(&|o| format!("{:.2}", o.cpu_s))),
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -3,7 +3,7 @@
 use crate::least::{Least, least};
 use crate::scenario::{Scenario, What};
 use crate::service::Tally as ServiceTally;
-use crate::world::{Breach, Tally};
+use crate::world::{Agreed, Breach, Tally};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -78,6 +78,8 @@
     pub tallies: Vec<Tally>,
     /// Bytes that the origin gave out, and pulls that came to nodes.
     pub traffic: [u64; 2],
+    /// How well dispatchers kept to versions of rules.
+    pub agreed: Agreed,
 }
 
 /// What a play came to.
@@ -87,6 +89,8 @@
     pub seed: u64,
     /// What the list service saw.
     pub heard: Heard,
+    /// How well dispatchers kept to versions of rules.
+    pub agreed: Agreed,
     /// What nodes counted, second by second.
     pub tallies: Vec<Tally>,
     /// How many dispatchers there were.
@@ -196,7 +200,7 @@
 
     /// What it came to.
     pub fn outcome(&self, name: &str, program: &str, scenario: &Scenario, seen: Seen) -> Outcome {
-        let Seen { breaches, logs, heard, tallies, traffic } = seen;
+        let Seen { breaches, logs, heard, tallies, traffic, agreed } = seen;
         let counts = self.counts();
         let seconds = counts.seconds[..counts.seconds.len() - 1].to_vec();
         let bad = |fault: &&crate::scenario::Fault| fault.what != What::Purge;
@@ -245,6 +249,7 @@
             expect.log_lines.map(|lines| lines as f64),
         ));
         missed.extend(over("tries_each", Some(tries_each), expect.tries_each));
+        missed.extend(over("contradiction_s", Some(agreed.longest_s), expect.contradiction_s));
         let turned_away: u32 = tallies.iter().map(|tally| tally.turned_away).sum();
         missed.extend(over("turned_away", Some(turned_away.into()), expect.turned_away.map(f64::from)));
         if let Some(least) = expect.after.filter(|least| after < *least) {
@@ -269,6 +274,7 @@
             seed: scenario.seed,
             heard,
             tallies,
+            agreed,
             served,
             given_up,
             tries_each,
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -1,6 +1,8 @@
 //! Scenarios: JSON with a schema. What is played, what goes wrong when, and what is expected of it.
 
 use crate::groups;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::path::Path;
@@ -34,11 +36,45 @@
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
+    /// Versions of rules that are issued while it is played.
+    #[serde(default)]
+    pub versions: Option<Versions>,
+    /// Faults of the list service, its links and the dispatchers that are drawn from the seed, besides those above.
+    #[serde(default)]
+    pub drawn: Option<Drawn>,
     /// What must hold besides the rules.
     #[serde(default)]
     pub expect: Expect,
 }
 
+/// Versions of rules that are issued while a scenario is played: how many pulls a download may take.
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Versions {
+    /// One each so many seconds.
+    pub each_s: f64,
+    /// It acts so long after it was issued.
+    pub ahead_s: f64,
+    /// What the versions say in turn.
+    pub max_pulls: Vec<u32>,
+    /// After such a part of them another follows that is not good: a second content, an older number, a near moment.
+    #[serde(default)]
+    pub spoilt: f64,
+}
+
+/// Faults that are drawn.
+#[derive(Debug, Clone, Copy, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Drawn {
+    /// From when, and until when.
+    pub from_s: f64,
+    pub until_s: f64,
+    /// One begins each so many seconds.
+    pub each_s: f64,
+    /// Each lasts as long as two draws between these say.
+    pub for_s: [f64; 2],
+}
+
 /// The dispatchers that are started.
 #[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -63,6 +99,22 @@
     pub sockets: u64,
     /// The operator's file, as it stands; absent for none.
     pub operator: Option<serde_json::Value>,
+    /// Some dispatchers that are told otherwise, as a program does that knows less.
+    #[serde(default)]
+    pub odd: Option<Odd>,
+    /// The deliberate fault of their agreement, in a build that has such.
+    #[serde(default)]
+    pub fault: Option<String>,
+}
+
+/// Dispatchers that are told otherwise.
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Odd {
+    /// Which, as faults name them.
+    pub who: String,
+    /// Their operator's file.
+    pub operator: serde_json::Value,
 }
 
 /// What a dispatcher's configuration holds of the change log.
@@ -317,6 +369,8 @@
     pub log_lines: Option<usize>,
     /// No more tries a download.
     pub tries_each: Option<f64>,
+    /// No pull comes so many seconds after it was last allowed by a version in force.
+    pub contradiction_s: Option<f64>,
     /// Nodes turn no more connections away.
     pub turned_away: Option<u32>,
     /// Benefit in the thirty seconds after the last fault, beside the level before the first.
@@ -349,6 +403,34 @@
     12.0
 }
 
+impl Drawn {
+    /// The faults that a seed draws.
+    fn faults(&self, seed: u64) -> Vec<Fault> {
+        use What::*;
+        let mut chance = StdRng::seed_from_u64(seed.rotate_left(24));
+        let lists = [Cut, CutTo, CutFrom, Hold, Reset, Slow, Half];
+        let groups = ["a third of dispatchers", "a quarter of dispatchers", "a fifth of dispatchers"];
+        let mut faults = Vec::new();
+        let mut at_s = self.from_s;
+        while at_s < self.until_s {
+            let kind = chance.random_range(0..10);
+            let group = groups[chance.random_range(0..groups.len())];
+            let links = format!("lists of {group}");
+            let (what, who) = match kind {
+                0..4 => (lists[chance.random_range(0..lists.len())], links),
+                4..6 => (Stop, group.to_string()),
+                6..8 => (Restart, "a tenth of dispatchers".to_string()),
+                _ => ([Away, Resets, Mute, Gap, Whole, Half][chance.random_range(0..6)], String::new()),
+            };
+            let for_s = if what == Reset { 0.0 } else { chance.random_range(self.for_s[0]..=self.for_s[1]) };
+            let by = if what == Slow { 0.3 } else { 0.0 };
+            faults.push(Fault { at_s, for_s: for_s.min(self.until_s - at_s), what, who, by });
+            at_s += self.each_s * chance.random_range(0.5..1.5);
+        }
+        faults
+    }
+}
+
 impl Scenario {
     /// Reads a scenario; an error is one line with the file, the field, what was found and what was expected.
     pub fn read(path: &Path) -> Result<Scenario, String> {
@@ -360,8 +442,11 @@
     /// The same from the text of a file.
     pub fn parse(text: &str) -> Result<Scenario, String> {
         let mut read = serde_json::Deserializer::from_str(text);
-        let read: Scenario =
+        let mut read: Scenario =
             serde_path_to_error::deserialize(&mut read).map_err(|fault| fault.to_string())?;
+        if let Some(drawn) = read.drawn {
+            read.faults.extend(drawn.faults(read.seed));
+        }
         read.check()?;
         Ok(read)
     }
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -51,6 +51,8 @@
 pub struct Service {
     told: Told,
     events: Mutex<Vec<Value>>,
+    /// The version of rules that is told with a whole list, and its number.
+    rules: Mutex<Option<(u64, Value)>>,
     last: watch::Sender<usize>,
     /// Raised when all its connections end.
     life: watch::Sender<u64>,
@@ -90,8 +92,8 @@
         let first = json!({"seq": 1, "fleet": {"version": 1, "full": true, "servers": all}});
         let (events, last, life) = (Mutex::new(vec![first]), watch::channel(1).0, watch::channel(0).0);
         let lists = Semaphore::new(told.at_once.max(1));
-        let (state, seen) = Default::default();
-        let service = Arc::new(Service { told, events, last, life, state, lists, seen, address });
+        let (state, seen, rules) = Default::default();
+        let service = Arc::new(Service { told, events, rules, last, life, state, lists, seen, address });
         let serving = service.clone();
         tokio::spawn(async move {
             while let Ok((stream, from)) = listener.accept().await {
@@ -201,6 +203,15 @@
         self.add(|seq| json!({"seq": seq, "invalidate": {"bucket": group, "time": time}}));
     }
 
+    /// A version of rules is told; who asks for the whole list is told the last `good` one.
+    pub fn rules(&self, number: u64, issue: &Value, good: bool) {
+        if good {
+            let kept = &mut *self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+            *kept = Some((number, issue.clone()));
+        }
+        self.add(|seq| json!({"seq": seq, "rules": issue}));
+    }
+
     /// How many of these dispatchers have been told all, and are connected.
     pub fn current(&self, dispatchers: &[IpAddr]) -> usize {
         let last = *self.last.borrow();
@@ -239,7 +250,11 @@
                 }
             }
             let servers: Vec<_> = nodes.into_iter().map(|node| node.1).collect();
-            let list = json!({"seq": upto, "fleet": {"version": upto, "full": true, "servers": servers}});
+            let mut list = json!({"seq": upto, "fleet": {"version": upto, "full": true, "servers": servers}, "agreed": 0});
+            // The last version, though it may be told once more below.
+            if let Some((number, issue)) = &*self.rules.lock().unwrap_or_else(PoisonError::into_inner) {
+                (list["agreed"], list["rules"]) = (json!(number), issue.clone());
+            }
             text += &format!("{}\n", seen(list, by.as_ref()));
             after = upto;
         }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -8,6 +8,9 @@
 /// What the clocks of this machine and of its processes may differ by, on top of the rules' own 50 ms.
 const SLACK: Duration = Duration::from_millis(50);
 
+/// Clocks of dispatchers and issuers may differ by so much, as the operator's files have it, and a little more.
+const CLOCKS: Duration = Duration::from_millis(300);
+
 /// Time to heed a drain, as the settings tell.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(1_000);
 /// Time to heed a purge, as the settings tell.
@@ -43,6 +46,32 @@
     pub origin_fills: u32,
 }
 
+/// A version of rules that was issued and is good.
+#[derive(Debug, Clone, Copy)]
+pub struct Issued {
+    /// When.
+    pub at: Instant,
+    /// From when it acts.
+    pub from: Instant,
+    /// How many pulls a download may take.
+    pub max_pulls: u32,
+}
+
+/// How well dispatchers kept to versions of rules, by what came to nodes.
+#[derive(Debug, Clone, Default, serde::Serialize)]
+pub struct Agreed {
+    /// Versions issued.
+    pub versions: usize,
+    /// Pulls that the version in force forbade when they came.
+    pub forbidden: u64,
+    /// The longest for which such a pull had been forbidden, in seconds, and when it came.
+    pub longest_s: f64,
+    pub at_s: f64,
+    /// Pulls that came before the moment that allowed them, within the clocks' error; and the longest before it.
+    pub early: u64,
+    pub early_s: f64,
+}
+
 /// A pull as it came to a node, or a download as its client saw it.
 #[derive(Debug, Default)]
 struct Truth {
@@ -56,6 +85,9 @@
     drained: HashMap<String, Instant>,
     breaches: Vec<Breach>,
     seconds: Vec<Tally>,
+    /// Versions of rules, in the order of their moments.
+    versions: Vec<Issued>,
+    agreed: Agreed,
     /// Bytes that the origin gave out, and pulls that came to nodes.
     origin_bytes: u64,
     all_pulls: u64,
@@ -70,6 +102,32 @@
     truth: Mutex<Truth>,
 }
 
+impl Truth {
+    /// The pull of this number of a download comes: does the version in force forbid it, and since when?
+    fn judge(&mut self, now: Instant, number: u32, at_s: f64) {
+        let acts = self.versions.iter().take_while(|version| version.from <= now).count();
+        let Some(in_force) = acts.checked_sub(1).and_then(|last| self.versions.get(last)) else { return };
+        if number <= in_force.max_pulls {
+            return;
+        }
+        let soon = self.versions[acts..]
+            .iter()
+            .find(|version| version.at <= now && version.max_pulls >= number && version.from <= now + CLOCKS);
+        if let Some(soon) = soon {
+            self.agreed.early += 1;
+            self.agreed.early_s = self.agreed.early_s.max((soon.from - now).as_secs_f64());
+            return;
+        }
+        let forbids = |version: &&Issued| version.max_pulls < number;
+        let since = self.versions[..acts].iter().rev().take_while(forbids).last().unwrap_or(in_force).from;
+        self.agreed.forbidden += 1;
+        let late_s = now.duration_since(since).as_secs_f64();
+        if late_s > self.agreed.longest_s {
+            (self.agreed.longest_s, self.agreed.at_s) = (late_s, at_s);
+        }
+    }
+}
+
 impl World {
     /// A world in which nothing has happened.
     pub fn new(scenario: Scenario) -> Self {
@@ -127,7 +185,10 @@
     pub fn pulled(&self, id: &str, node: &str, source: Option<&str>) {
         let now = Instant::now();
         let mut truth = self.truth();
-        *truth.pulls.entry(id.to_string()).or_default() += 1;
+        let count = truth.pulls.entry(id.to_string()).or_default();
+        *count += 1;
+        let number = *count;
+        truth.judge(now, number, self.secs());
         truth.all_pulls += 1;
         for named in [Some(node), source].into_iter().flatten() {
             let late = truth.drained.get(named).is_some_and(|told| now > *told + DRAIN_GRACE + SLACK);
@@ -139,6 +200,18 @@
         }
     }
 
+    /// A version of rules is issued.
+    pub fn issued(&self, version: Issued) {
+        let mut truth = self.truth();
+        truth.versions.push(version);
+        truth.agreed.versions += 1;
+    }
+
+    /// How well dispatchers kept to versions of rules.
+    pub fn agreed(&self) -> Agreed {
+        self.truth().agreed.clone()
+    }
+
     /// How many pulls came for these tries.
     pub fn pulls_of(&self, ids: &[String]) -> u32 {
         let truth = self.truth();
@@ -260,6 +333,29 @@
         assert_eq!(world.pulls_of(&["1".into(), "2".into(), "9".into()]), 2);
     }
 
+    #[test]
+    fn a_pull_that_the_version_in_force_forbids_is_seen_and_for_how_long() {
+        let world = world();
+        let now = std::time::Instant::now();
+        let long = Duration::from_secs(5);
+        let issued = |from, max_pulls| world.issued(super::Issued { at: now - long, from, max_pulls });
+        issued(now - long, 6);
+        issued(now - Duration::from_secs(4), 2);
+        issued(now - Duration::from_secs(1), 1);
+        issued(now + Duration::from_millis(250), 3);
+        issued(now + long, 6);
+        world.pulled("1", "s-0", None);
+        assert_eq!(world.agreed().forbidden, 0);
+        // Two were forbidden by the last alone, but three by the two last; and three are allowed again at once.
+        world.pulled("1", "s-0", None);
+        world.pulled("1", "s-0", None);
+        assert_eq!((world.agreed().early, world.agreed().forbidden), (2, 0));
+        world.pulled("1", "s-0", None);
+        let agreed = world.agreed();
+        assert_eq!((agreed.versions, agreed.forbidden), (5, 1));
+        assert!((4.0..4.5).contains(&agreed.longest_s), "{}", agreed.longest_s);
+    }
+
     #[test]
     fn bytes_tell_their_version_and_nothing_else_passes() {
         let bytes = World::bytes("7f", 3, 2);
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -52,3 +52,22 @@
     });
     assert!(number(&outcome, "/heard/falls") >= 1.0, "seed {}", outcome["seed"]);
 }
+
+/// Versions of rules each 3 s, some of them not good, while links to the list service, the service and dispatchers fail as
+/// the seed draws: no pull comes for longer than stated after the version in force forbade it.
+#[test]
+fn eight_dispatchers_agree_on_versions_of_rules_whatever_fails_between_them() {
+    let outcome = played("agree-small", 75, |_| {});
+    let seed = &outcome["seed"];
+    assert_eq!(outcome["breaches"], Value::Array(vec![]), "seed {seed}");
+    assert_eq!(outcome["missed"], Value::Array(vec![]), "seed {seed}");
+    assert!(number(&outcome, "/agreed/versions") >= 10.0, "seed {seed}");
+}
+
+/// The same judge finds half of a fleet that passes versions over.
+#[test]
+fn an_older_program_in_half_of_the_fleet_is_found_out() {
+    let outcome = played("agree-half", 74, |_| {});
+    let longest = number(&outcome, "/agreed/longest_s");
+    assert!((3.75..60.0).contains(&longest), "{longest}, seed {}", outcome["seed"]);
+}
