--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod least;
 mod links;
 mod many;
+mod many_rules;
 mod nodes;
 mod pace;
 mod play;
@@ -106,6 +107,20 @@
         #[arg(long, default_value_t = 5)]
         seeds: u64,
     },
+    /// Simulates how thousands of dispatchers agree on versions of rules: a table.
+    Rules {
+        /// How many dispatchers.
+        #[arg(long, value_delimiter = ',', default_value = "30,300,3000,10000")]
+        dispatchers: Vec<u32>,
+        /// The part of the streams from the list service that is lost in a second.
+        #[arg(long, value_delimiter = ',', default_value = "0,0.001,0.01,0.05")]
+        loss: Vec<f64>,
+        /// For how many seconds the service is away.
+        #[arg(long, default_value_t = 0.0)]
+        away: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
@@ -209,6 +224,10 @@
             print!("{}", many::table(&dispatchers, away, zones.max(1), told, seeds.max(1)));
             Ok(())
         }
+        Command::Rules { dispatchers, loss, away, seed } => {
+            print!("{}", many_rules::table(&dispatchers, &loss, away, seed));
+            Ok(())
+        }
         Command::List { folder } => list(&folder),
         Command::Schema => {
             println!("{:#}", Scenario::schema());
--- /dev/null
+++ b/tests/module/changed.rs
@@ -0,0 +1,96 @@
+//! Rules that change while downloads are out.
+
+use crate::common::*;
+use copperroute::interface::*;
+use expect_test::expect;
+
+/// The most pulls that a download takes whose nodes all refuse, by seeds, with other rules in force once it is out.
+fn pulls(before: &Settings, after: &Settings) -> usize {
+    let one = |seed: u64| {
+        let (mut module, mut trace) = start(Settings { seed, ..before.clone() });
+        ask(&mut module, ms(1_000), 0, 0, 1, &mut trace);
+        module.settings_changed(after);
+        for number in 0..8 {
+            let refused = end(Outcome::Refused, Remark::None);
+            module.pull_ended(ms(1_010), DlId(0), number, &refused, &mut trace);
+        }
+        trace.0.matches("pull").count()
+    };
+    (1..40).map(one).max().unwrap_or(0)
+}
+
+#[test]
+fn a_further_pull_obeys_what_a_download_was_taken_under_and_what_is_in_force() {
+    let (loose, mut tight) = (settings(), settings());
+    tight.max_pulls = 2;
+    assert!(pulls(&loose, &loose) > 2);
+    assert_eq!(pulls(&loose, &tight), 2);
+    assert_eq!(pulls(&tight, &loose), 2);
+}
+
+#[test]
+fn a_type_that_becomes_non_retriable_is_not_repeated_nor_offered_for_it() {
+    let (loose, mut tight) = (settings(), settings());
+    tight.content_types[0].repeat = Repeat::NonRetriable;
+    let mut said = String::new();
+    for (name, before, after) in [("tightened", &loose, &tight), ("loosened", &tight, &loose)] {
+        let (mut module, mut trace) = start(before.clone());
+        ask(&mut module, ms(1_000), 0, 0, 1, &mut trace);
+        module.settings_changed(after);
+        module.pull_ended(ms(1_100), DlId(0), 0, &end(Outcome::Broken, Remark::None), &mut trace);
+        ask(&mut module, ms(1_200), 1, 0, 1, &mut trace);
+        module.pull_ended(ms(1_300), DlId(1), 0, &end(Outcome::Broken, Remark::None), &mut trace);
+        said += &format!("{name}\n{}", trace.0);
+    }
+    expect![[r#"
+        tightened
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: abandoned
+        dl 1: pull 1 from 1 rank 1 join
+        note: node 1 set aside
+        dl 1: abandoned
+        loosened
+        dl 0: pull 1 from 1 rank 0 join
+        dl 0: abandoned
+        dl 1: pull 1 from 1 rank 1 join
+        note: node 1 set aside
+        dl 1: pull 0 from 0 rank 1 join
+    "#]]
+    .assert_eq(&said);
+}
+
+#[test]
+fn what_was_learnt_stays_when_rules_change() {
+    let (mut module, mut trace) = start(settings());
+    for at in 0..4 {
+        ask(&mut module, ms(1_000 + 500 * at), 0, 0, 1, &mut trace);
+        module.pull_ended(
+            ms(1_100 + 500 * at),
+            DlId(0),
+            0,
+            &end(Outcome::Fulfilled, Remark::Hit),
+            &mut trace,
+        );
+    }
+    let d = Download {
+        dl: DlId(9),
+        content_type: TypeId(0),
+        object: ObjectId(1),
+        copy_hash: stable_hash(b"object-1"),
+        object_hash: stable_hash(b"object-1"),
+        group: None,
+        expires: ms(9_000),
+        repeat: false,
+        size_kb: None,
+        client: 0,
+        body_hash: 0,
+    };
+    let known = module.known(&d);
+    let mut tight = settings();
+    (tight.max_pulls, tight.cache_cold.share) = (2, 0.1);
+    module.settings_changed(&tight);
+    assert!(known.is_some_and(|known| known.0.is_some()));
+    assert_eq!(module.known(&d), known);
+    ask(&mut module, ms(4_000), 1, 0, 1, &mut trace);
+    assert!(trace.0.contains("dl 1: pull"), "{}", trace.0);
+}
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -1,6 +1,7 @@
 //! The decisions, as traces that people read.
 
 mod calls;
+mod changed;
 mod cold;
 mod common;
 mod conduct;
