Where a whole list stands for lost events, all that is older counts as purged

The dispatcher now takes everything older than what was last heard, and a second for the line's way, as purged: pulls name that age, own copies go (the disk tier until a restart), pulls not sent are ordered anew, one line says so. The users' platform holds all events.

Measured: reducer test.

--- a/dispatcher/src/changes.rs
+++ b/dispatcher/src/changes.rs
@@ -35,6 +35,8 @@
     doubted: Option<u64>,
     decoder: Decoder,
     calls: Calls,
+    /// When it last told that there was no more to tell; before that, when the dispatcher started.
+    told_all: Nanos,
     /// Whether it has begun anew; `None` where that is not looked for.
     anew: Option<bool>,
     lines_behind: u32,
@@ -52,11 +54,17 @@
             doubted: None,
             decoder: Decoder::default(),
             calls,
+            told_all: Nanos::ZERO,
             anew: None,
             lines_behind: 0,
         }
     }
 
+    /// When it last told that there was no more to tell.
+    pub fn told_all(&self) -> Nanos {
+        self.told_all
+    }
+
     /// Looks from now on for whether it begins anew, with lower numbers.
     pub fn look_for_anew(&mut self) {
         self.anew = Some(false);
@@ -74,6 +82,7 @@
 
     /// The dispatcher starts, with a list that will do or without.
     pub fn start(&mut self, has_list: bool, now: Nanos, effects: &mut Vec<Effect>) {
+        self.told_all = now;
         let at = self.calls.started(now, has_list);
         self.call_at(at, now, effects);
     }
@@ -210,6 +219,9 @@
                 }
                 Ok(Some(Line::Last(last))) => {
                     self.caught_up = true;
+                    if last == self.applied {
+                        self.told_all = now;
+                    }
                     if let Some(forgot) = self.behind(last) {
                         self.give_up(now, &forgot, effects);
                     } else {
--- a/dispatcher/src/copies.rs
+++ b/dispatcher/src/copies.rs
@@ -210,6 +210,12 @@
         self.purges.forget_before(unix_ms.saturating_sub(4 * done_ms + 60_000));
     }
 
+    /// Anything may have been purged: nothing that is held can be trusted, on disk not even later.
+    pub fn purges_lost(&mut self) {
+        self.memory.remove_all(|_, _| true);
+        self.disk_off();
+    }
+
     /// Copies and bytes that they take.
     pub fn sizes(&self) -> (usize, usize) {
         (self.memory.len(), self.memory.bytes())
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -440,6 +440,11 @@
         });
     }
 
+    /// Anything may have been purged.
+    pub fn purges_lost(&mut self) {
+        self.take_back(|_, _| true);
+    }
+
     /// Ends the pulls that are meant and were not sent, so that the module orders anew.
     fn take_back(&mut self, meant: impl Fn(&Held, &HeldPull) -> bool) {
         let held = &self.held;
--- a/dispatcher/src/reducer.rs
+++ b/dispatcher/src/reducer.rs
@@ -35,6 +35,8 @@
 /// that is shorter: what came last has come 0.6 s after it, and 0.7 s after it nothing is waited for.
 const DRAINED_AFTER: Nanos = Nanos(500_000_000);
 const LONGEST_DRAIN: Nanos = Nanos(3_000_000_000);
+/// A line may have taken so long on its way.
+const LATEST_LINE: Nanos = Nanos(1_000_000_000);
 /// Idle clients that are closed at once when descriptors run short.
 const IDLE_AT_ONCE: usize = 8;
 const SWEEP: Nanos = Nanos(250_000_000);
@@ -170,7 +172,12 @@
                 self.log.received(number, bytes);
                 while let Some(told) = self.log.next_told(now, &mut self.desk.effects) {
                     match told {
-                        Told::Change { change, lost } => self.apply(now, &change, lost),
+                        Told::Change { change, lost } => {
+                            if lost {
+                                self.purges_lost(now, change.seq);
+                            }
+                            self.apply(now, &change, lost);
+                        }
                         Told::Line { caught_up } => {
                             self.agreed.iter_mut().for_each(|agreed| agreed.line(now, caught_up));
                         }
@@ -603,6 +610,20 @@
         }
     }
 
+    /// A whole list stands for events that are no longer told, and tells nothing of the purges among them: all that is
+    /// older than what was last heard counts as purged (rule 5).
+    fn purges_lost(&mut self, now: Nanos, seq: u64) {
+        let age = now.since(self.log.told_all()).after(LATEST_LINE);
+        log::warn!(
+            "change log: whole list at event {seq}: copies older than {:.1} s count as purged",
+            age.secs()
+        );
+        self.module.purges_lost(now, age);
+        self.copies.iter_mut().for_each(Copies::purges_lost);
+        self.desk.purges_lost();
+        self.hand_on_ends(now);
+    }
+
     fn list(&mut self, now: Nanos, fleet: &Fleet) {
         let entries: Vec<_> = fleet.servers.iter().map(|listed| self.entry(listed)).collect();
         let named: Vec<_> = entries.iter().map(|entry| entry.node).collect();
--- a/dispatcher/tests/dispatcher/reducer.rs
+++ b/dispatcher/tests/dispatcher/reducer.rs
@@ -821,3 +821,23 @@
     }
     assert!(opened[0] < 60 && opened[1] < 20, "{opened:?}");
 }
+
+#[test]
+fn where_a_whole_list_stands_for_what_is_lost_older_copies_count_as_purged() {
+    let mut play = Play::new();
+    for _ in 0..3 {
+        play.pass(1_000);
+        play.log(1, "1");
+    }
+    play.pass(1_500);
+    // Its service holds three events only, and tells the list in place of those before.
+    let list = r#"{"seq":9,"fleet":{"version":9,"full":true,"servers":[{"id":"s-a","addr":"127.0.0.1:6001","zone":"east","kind":"box","state":"active"}]}}"#;
+    play.log(1, list);
+    play.take();
+    play.event(Event::Accepted(1, LOOPBACK));
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,maxage=2500 0
+    "#]].assert_eq(&play.take());
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 use crate::cold::one_place;
 use crate::interface::*;
 use crate::link::Link;
-use crate::purges::Purges;
+use crate::purges::{Purged, Purges};
 use crate::ring::Ring;
 use crate::spare::Origin;
 use crate::state::*;
@@ -798,11 +798,7 @@
     /// Changed entries. A node that drains or is gone leaves every choice at once (rule 3).
     pub fn nodes_changed(&mut self, _now: Nanos, entries: &[NodeEntry], _out: &mut impl Outbox) {
         self.nodes.relist(entries, |e| Node::new(*e, JUDGED_OVER, BUCKETS));
-        // Where the link is not told, it is judged from the caches' own links.
-        let (told, pace) = (self.s.link_kb_per_s, self.s.client_kb_per_s);
-        let judged = 0.5 * self.nodes.caches().map(|n| n.e.weight).sum::<f64>();
-        let part = if told > 0.0 { told / pace } else { judged } / f64::from(self.s.zone_dispatchers.max(1));
-        self.link.listed(part);
+        self.link.listed(&self.s, self.nodes.caches().map(|n| n.e.weight).sum());
     }
 
     /// Pulls and fills believed to be out at a node.
@@ -827,11 +823,16 @@
 
     /// An object was purged `age` ago.
     pub fn object_purged(&mut self, now: Nanos, hash: u64, age: Nanos, _out: &mut impl Outbox) {
-        self.purges.add(hash, false, now.since(age));
+        self.purges.add(Purged::Object(hash), now.since(age));
     }
 
     /// A group of objects was purged `age` ago.
     pub fn group_purged(&mut self, now: Nanos, group: u64, age: Nanos, _out: &mut impl Outbox) {
-        self.purges.add(group, true, now.since(age));
+        self.purges.add(Purged::Group(group), now.since(age));
+    }
+
+    /// What was told since `age` ago is lost, and may have been purges of anything.
+    pub fn purges_lost(&mut self, now: Nanos, age: Nanos) {
+        self.purges.add(Purged::Anything, now.since(age));
     }
 }
--- a/src/link.rs
+++ b/src/link.rs
@@ -5,7 +5,7 @@
 //! under a limit that follows how slow they run; what is large for its type is let go first. Guards against scans, cold
 //! caches, slow parents, huge objects and full caches.
 
-use crate::interface::Nanos;
+use crate::interface::{Nanos, Settings};
 use crate::ring::Ring;
 
 /// Fills are judged over this.
@@ -36,6 +36,9 @@
     part: f64,
 }
 
+/// Of the caches' links, where the location's own is not told.
+const JUDGED_PART: f64 = 0.5;
+
 impl Default for Link {
     fn default() -> Self {
         Link { pace: Ring::new(JUDGED_OVER, BUCKETS), out: 0.0, limit: 0.0, part: 0.0 }
@@ -43,9 +46,12 @@
 }
 
 impl Link {
-    /// This dispatcher's part of it, in transfers, as the list now has it: the most counts.
-    pub fn listed(&mut self, part: f64) {
-        self.part = self.part.max(part);
+    /// The caches of the location have these links together: this dispatcher's part of the location's, in transfers, is
+    /// told, or else judged from theirs. The most counts.
+    pub fn listed(&mut self, s: &Settings, caches: f64) {
+        let all =
+            if s.link_kb_per_s > 0.0 { s.link_kb_per_s / s.client_kb_per_s } else { JUDGED_PART * caches };
+        self.part = self.part.max(all / f64::from(s.zone_dispatchers.max(1)));
     }
 
     /// Own fills that may be out.
