--- /dev/null
+++ b/agreement/benches/switch.rs
@@ -0,0 +1,138 @@
+//! What a switch of rules takes: `cargo bench -p copperroute-agreement`.
+
+use copperroute::decide::Dispatcher;
+use copperroute::interface::*;
+use copperroute_agreement::core::Agreement;
+use copperroute_agreement::faults::Faults;
+use copperroute_agreement::issue::{Ground, Issue};
+use copperroute_agreement::rules::RuleSet;
+use copperroute_agreement::terms::Terms;
+use divan::{Bencher, black_box};
+
+const S: u64 = 1_000_000_000;
+const TYPES: usize = 10;
+
+fn main() {
+    divan::main();
+}
+
+/// Nobody listens.
+struct Nobody;
+
+impl Outbox for Nobody {
+    fn pull(&mut self, _: DlId, _: &Pull) {}
+    fn call_off(&mut self, _: DlId, _: u32) {}
+    fn throttle(&mut self, _: DlId, _: Option<Nanos>) {}
+    fn abandon(&mut self, _: DlId) {}
+    fn arm(&mut self, _: Nanos, _: u64) {}
+    fn follow(&mut self) {}
+    fn note(&mut self, _: &str) {}
+    fn release(&mut self, _: DlId) {}
+    fn release_object(&mut self, _: ObjectId) {}
+}
+
+fn settings() -> Settings {
+    let cold = ColdStart { share: 0.3, warm_after: Nanos(12 * S), fall_multiple: 1.5 };
+    let content_type = ContentType {
+        target_time: Nanos(S),
+        target_stretch: 1.0,
+        repeat: Repeat::Retriable,
+        fresh_for: None,
+        uncacheable: false,
+        benefit: 1.0,
+    };
+    Settings {
+        seed: 1,
+        zone: ZoneId(0),
+        dispatchers: 4,
+        zone_dispatchers: 4,
+        content_types: vec![content_type; TYPES],
+        parent_kind: Some(1),
+        origin_kind: Some(2),
+        direct: true,
+        joins: false,
+        fills_told: true,
+        sideways: false,
+        client_kb_per_s: 0.0,
+        link_kb_per_s: 0.0,
+        purge_done: Nanos(6 * S),
+        purge_notice: Nanos(S),
+        cache_cold: cold,
+        parent_cold: cold,
+        fall_for: Nanos(3 * S),
+        origin_stop_multiple: 2.5,
+        list_is_asked: false,
+        cancel: true,
+        come_back: true,
+        max_come_back: Nanos(S),
+        max_pulls: 6,
+        storms: None,
+    }
+}
+
+/// A dispatcher in touch that has heard of a version, a moment before it acts.
+fn waits() -> Agreement {
+    let base = RuleSet::of(&settings(), &[Nanos(5 * S); TYPES]);
+    let types = (0..TYPES).map(|at| format!("type-{at}")).collect();
+    let terms = Terms { lease: Nanos(3 * S), clock_error: Nanos(S / 4), slack: Nanos(S / 2) };
+    let floor = base.clone();
+    let mut core = Agreement::new(Ground { base, types, terms, faults: Faults::default() }, &floor);
+    core.asked(Nanos(S));
+    core.line(Nanos(S), true);
+    let told = r#"{"version":1,"issuer":"ops","issued_ms":1000,"from_ms":5000,"rules":{}}"#;
+    let issue = Issue::parse(told).unwrap_or_else(|why| unreachable!("{why}"));
+    let _ = core.heard(Nanos(S), 1_000, &issue);
+    core.look(Nanos(S), 1_000);
+    core
+}
+
+#[divan::bench]
+fn a_look_that_finds_nothing_new(bencher: Bencher) {
+    let mut core = waits();
+    bencher.bench_local(|| black_box(core.look(Nanos(2 * S), 2_000)));
+}
+
+#[divan::bench]
+fn a_version_begins_to_act(bencher: Bencher) {
+    let base = settings();
+    bencher.with_inputs(waits).bench_local_values(|mut core| {
+        core.look(Nanos(5 * S), 5_000);
+        core.acting().apply(&base, &[Nanos(5 * S); TYPES])
+    });
+}
+
+/// The decisions take other rules with so many downloads in hand.
+#[divan::bench(args = [0, 100, 1_000, 10_000])]
+fn the_decisions_take_it(bencher: Bencher, in_hand: u32) {
+    let mut module = Dispatcher::new(settings());
+    let entry = |id: u32, kind: u32| NodeEntry {
+        node: NodeId(id),
+        hash: mix(u64::from(id)),
+        zone: ZoneId(0),
+        kind,
+        cell: 0,
+        readiness: Readiness::Ready,
+        weight: 1e6,
+        started: Nanos::ZERO,
+    };
+    module.nodes_listed(Nanos(S), &[entry(0, 0), entry(1, 0), entry(2, 1), entry(3, 2)], &mut Nobody);
+    for dl in 0..in_hand {
+        let hash = mix(u64::from(dl));
+        let download = Download {
+            dl: DlId(dl),
+            content_type: TypeId(dl % TYPES as u32),
+            object: ObjectId(dl),
+            copy_hash: hash,
+            object_hash: hash,
+            group: None,
+            expires: Nanos(9 * S),
+            repeat: false,
+            size_kb: None,
+            client: 0,
+            body_hash: 0,
+        };
+        module.download(Nanos(S), &download, &mut Nobody);
+    }
+    let tight = Settings { max_pulls: 2, ..settings() };
+    bencher.bench_local(|| module.settings_changed(black_box(&tight)));
+}
