Told sizes stand in for a content type's mean until the first answer

At fault: a dispatcher that has answered nothing rated each pull at 0.3 s (DEFAULT_WORK_S) though its client tells the size (TypeRow, state.rs), so that its chance to send it was a third of what its part allows.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -123,6 +123,7 @@
         }
         let told = d.size_kb.filter(|_| self.s.client_kb_per_s > 0.0).map(|kb| kb / self.s.client_kb_per_s);
         // Where sizes are not told, what its object took, or its content type takes, stands in.
+        self.types[d.content_type.0 as usize].asked(told);
         let work_s = told.or(seen).unwrap_or(self.row(d).mean_work_s);
         self.dls.put(d.dl.0, Dl::new(*d, work_s, keep, Under::new(&self.s, d.content_type)));
         self.admit(now, d, work_s, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -261,6 +261,8 @@
     pub mean_work_s: f64,
     /// How many were seen, up to as many as the mean is over.
     seen: f64,
+    /// How many were asked for whose sizes were told, while none was seen.
+    asked: f64,
 }
 
 /// A content type's mean sending time is that of the first so many, then a moving average over as many.
@@ -269,7 +271,15 @@
 impl TypeRow {
     /// A content type of which nothing was seen: a sending time stands in until then.
     pub fn new(told: &ContentType, mean_work_s: f64) -> Self {
-        TypeRow { told: told.clone(), mean_work_s, seen: 0.0 }
+        TypeRow { told: told.clone(), mean_work_s, seen: 0.0, asked: 0.0 }
+    }
+
+    /// Counts the sending time of what is asked for, where it is told: until an answer was seen the mean of these stands in.
+    pub fn asked(&mut self, work_s: Option<f64>) {
+        if let Some(work_s) = work_s.filter(|_| self.seen == 0.0) {
+            self.asked += 1.0;
+            self.mean_work_s += (work_s - self.mean_work_s) / self.asked;
+        }
     }
 
     /// Counts the sending time of an answer, where it was told. Of hundreds of dispatchers each sees few: the first
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -219,3 +219,18 @@
     // Two seconds is the longest that clients heed here.
     assert!(few < 0.5 && many > 1.5, "{few:.2} s of a few, {many:.2} s of many");
 }
+
+#[test]
+fn a_dispatcher_that_has_answered_nothing_rates_its_first_pull_by_the_size_that_is_told() {
+    // A part of a second is 0.12 s of sending, the download 0.1 s: its chance is certain once it is rated by its own size.
+    let pulled = (0..40).filter(|seed| {
+        let mut s = settings();
+        (s.seed, s.dispatchers, s.zone_dispatchers) = (*seed, 20, 20);
+        let (mut module, mut trace) = start(s);
+        let cold = [0, 1, 2].map(|id| entry(id, 0, Readiness::Ready, ms(9_000)));
+        module.nodes_changed(ms(10_000), &cold, &mut trace);
+        ask(&mut module, ms(10_000), 0, 0, 1, &mut trace);
+        trace.0.contains("pull")
+    });
+    assert_eq!(pulled.count(), 40);
+}
