--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -313,6 +313,8 @@
     Gap,
     /// It tells the whole list each time.
     Whole,
+    /// It forgets its past, and begins its numbers at 1 with the list as it stands.
+    Anew,
     /// It ends each answer after half; on links the next answer.
     Half,
     /// Links carry nothing from dispatchers on; what was held is reset when the fault ends.
@@ -495,7 +497,7 @@
         use What::*;
         match fault.what {
             Purge | Reconnect => who.is_empty().then_some(Whom::All),
-            Away | Resets | Mute | Gap | Whole => who.is_empty().then_some(Whom::Service),
+            Away | Resets | Mute | Gap | Whole | Anew => who.is_empty().then_some(Whom::Service),
             Restart | Loop | Stop => {
                 let by_number = who.parse::<usize>().ok().map(|at| format!("dispatchers {at}"));
                 group(by_number.as_deref().unwrap_or(who)).map(Whom::Dispatchers)
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -70,6 +70,20 @@
         "state": state, "weight": node.weight, "started_ms": started_ms})
 }
 
+/// The nodes as they stand after these events, as one event of this number.
+fn whole_list(events: &[Value], seq: usize) -> Value {
+    let mut nodes: Vec<(String, Value)> = Vec::new();
+    for event in events {
+        for server in event["fleet"]["servers"].as_array().into_iter().flatten() {
+            let id = server["id"].as_str().unwrap_or_default().to_string();
+            nodes.retain(|known| known.0 != id);
+            nodes.push((id, server.clone()));
+        }
+    }
+    let servers: Vec<_> = nodes.into_iter().map(|node| node.1).collect();
+    json!({"seq": seq, "fleet": {"version": seq, "full": true, "servers": servers}})
+}
+
 /// An event with the addresses that a dispatcher is to see.
 fn seen(mut event: Value, by: Option<&HashMap<String, SocketAddr>>) -> Value {
     let Some(by) = by else { return event };
@@ -164,8 +178,31 @@
         taken
     }
 
+    /// Forgets its past: one event with the nodes as they stand is all there is, and all connections end.
+    fn begin_anew(&self) {
+        let mut events = self.events();
+        let mut list = whole_list(&events, 1);
+        self.beside(&mut list);
+        *events = vec![list];
+        drop(events);
+        self.state().told.clear();
+        self.last.send_replace(1);
+        self.life.send_modify(|life| *life += 1);
+    }
+
+    /// With a whole list goes the last version of rules, though it may be told once more after it.
+    fn beside(&self, list: &mut Value) {
+        list["agreed"] = json!(0);
+        if let Some((number, issue)) = &*self.rules.lock().unwrap_or_else(PoisonError::into_inner) {
+            (list["agreed"], list["rules"]) = (json!(number), issue.clone());
+        }
+    }
+
     /// A fault begins, or ends.
     pub fn fault(&self, what: Option<What>) {
+        if what == Some(What::Anew) {
+            return self.begin_anew();
+        }
         self.state().fault = what;
         if matches!(what, Some(What::Away | What::Resets)) {
             self.life.send_modify(|life| *life += 1);
@@ -239,22 +276,13 @@
         let mut after = told.min(last);
         if whole && last > 0 {
             // The nodes as they stand, under the last number that is no longer told by itself.
-            let upto =
-                if told == 0 || lost { last.saturating_sub(self.told.retention.min(last - 1)) } else { told };
-            let mut nodes: Vec<(String, Value)> = Vec::new();
-            for event in events.iter().take(upto) {
-                for server in event["fleet"]["servers"].as_array().into_iter().flatten() {
-                    let id = server["id"].as_str().unwrap_or_default().to_string();
-                    nodes.retain(|known| known.0 != id);
-                    nodes.push((id, server.clone()));
-                }
-            }
-            let servers: Vec<_> = nodes.into_iter().map(|node| node.1).collect();
-            let mut list = json!({"seq": upto, "fleet": {"version": upto, "full": true, "servers": servers}, "agreed": 0});
-            // The last version, though it may be told once more below.
-            if let Some((number, issue)) = &*self.rules.lock().unwrap_or_else(PoisonError::into_inner) {
-                (list["agreed"], list["rules"]) = (json!(number), issue.clone());
-            }
+            let upto = if told == 0 || lost {
+                last.saturating_sub(self.told.retention.min(last - 1))
+            } else {
+                after
+            };
+            let mut list = whole_list(&events[..upto], upto);
+            self.beside(&mut list);
             text += &format!("{}\n", seen(list, by.as_ref()));
             after = upto;
         }
