--- a/src/decide.rs
+++ b/src/decide.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// The rules have changed. What was learnt and what is in hand stays; seed, places and storms are as at the start.
+    /// The rules have changed. What was learnt and is in hand stays; seed and storms are as at the start.
     pub fn settings_changed(&mut self, s: &Settings) {
         self.dls.iter_mut().for_each(|dl| dl.under = dl.under.and(s, dl.d.content_type));
         self.types.iter_mut().zip(&s.content_types).for_each(|(row, told)| row.told = told.clone());
