--- a/agreement/src/core.rs
+++ b/agreement/src/core.rs
@@ -232,9 +232,4 @@
     pub fn lease_left(&self, now: Nanos) -> Nanos {
         self.lease.left(now)
     }
-
-    /// The names of the content types, for those who print fields.
-    pub fn types(&self) -> &[String] {
-        &self.ground.types
-    }
 }
