Let the lab's commands share their place and the printing of rows

Run, compare, sizes and pace each wrote out folder, program and net; run and sizes printed the same rows. Words, defaults and answers of the commands stay; the lab's tests pass.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -16,7 +16,7 @@
 mod service;
 mod world;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use play::Play;
 use results::Outcome;
 use scenario::Scenario;
@@ -31,20 +31,34 @@
     command: Command,
 }
 
+/// With what and where it is played.
+#[derive(Args)]
+struct Place {
+    /// Results, report and logs go here.
+    #[arg(long, default_value = "target/lab")]
+    out: PathBuf,
+    /// The dispatchers' program; the one beside this one if absent.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Addresses are in 127.N.0.0/16.
+    #[arg(long, default_value_t = 77)]
+    net: u8,
+}
+
+impl Place {
+    fn own_program(&self) -> Result<PathBuf, (u8, String)> {
+        let own = self.program.clone().map_or_else(play::own_program, Ok);
+        own.map_err(|fault| (UNUSABLE, fault))
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Plays a scenario; ends with 1 if a rule was broken or an expectation missed, named in the last line.
     Run {
         scenario: PathBuf,
-        /// Results, report and logs go here.
-        #[arg(long, default_value = "target/lab")]
-        out: PathBuf,
-        /// The dispatchers' program; the one beside this one if absent.
-        #[arg(long)]
-        program: Option<PathBuf>,
-        /// Addresses are in 127.N.0.0/16.
-        #[arg(long, default_value_t = 77)]
-        net: u8,
+        #[command(flatten)]
+        place: Place,
     },
     /// Plays a scenario with this build and with another that gets no operator's file, in one report.
     Compare {
@@ -52,12 +66,8 @@
         /// The other program.
         #[arg(long = "with")]
         other: PathBuf,
-        #[arg(long, default_value = "target/lab")]
-        out: PathBuf,
-        #[arg(long)]
-        program: Option<PathBuf>,
-        #[arg(long, default_value_t = 77)]
-        net: u8,
+        #[command(flatten)]
+        place: Place,
     },
     /// Plays a scenario with each number of dispatchers in turn, in one report with curves over them.
     Sizes {
@@ -65,12 +75,8 @@
         /// How many dispatchers.
         #[arg(long, value_delimiter = ',', default_value = "4,10,30,100,300")]
         dispatchers: Vec<usize>,
-        #[arg(long, default_value = "target/lab")]
-        out: PathBuf,
-        #[arg(long)]
-        program: Option<PathBuf>,
-        #[arg(long, default_value_t = 77)]
-        net: u8,
+        #[command(flatten)]
+        place: Place,
     },
     /// Downloads a core-second of dispatchers, as a share of a bare relay's.
     Pace {
@@ -80,14 +86,10 @@
         /// The operator's file for the first program.
         #[arg(long)]
         operator: Option<PathBuf>,
-        #[arg(long)]
-        program: Option<PathBuf>,
         #[arg(long, default_value_t = 5)]
         rounds: usize,
-        #[arg(long, default_value = "target/lab")]
-        out: PathBuf,
-        #[arg(long, default_value_t = 77)]
-        net: u8,
+        #[command(flatten)]
+        place: Place,
     },
     /// Simulates when thousands of dispatchers call the list service: a table.
     Calls {
@@ -147,27 +149,33 @@
     ended
 }
 
+fn print_rows(outcomes: &[Outcome]) {
+    for (what, values) in report::rows(outcomes) {
+        println!("{what}: {}", values.join(" | "));
+    }
+}
+
 /// Plays with each program in turn, writes one report, and judges the first.
-fn play(file: &Path, programs: &[PathBuf], out: &Path, net: u8) -> Ended {
+fn play(file: &Path, programs: &[PathBuf], Place { out, net, .. }: &Place) -> Ended {
     let scenario = Scenario::read(file).map_err(|fault| (UNUSABLE, fault))?;
     let name = play::name_of(file);
     let mut outcomes: Vec<Outcome> = Vec::new();
     for (at, program) in programs.iter().enumerate() {
         let folder = out.join(format!("{name}-{at}"));
-        let play = Play { name: &name, scenario: &scenario, program, operated: at == 0, out: &folder, net };
+        let play =
+            Play { name: &name, scenario: &scenario, program, operated: at == 0, out: &folder, net: *net };
         outcomes.push(on_threads(4, play.run())?);
     }
     report::write(out, &name, &scenario, &outcomes).map_err(|fault| (UNUSABLE, fault))?;
-    for (what, values) in report::rows(&outcomes) {
-        println!("{what}: {}", values.join(" | "));
-    }
+    print_rows(&outcomes);
     outcomes[0].verdict().map_err(|fault| (FAILED, format!("{name}: {fault}")))?;
     println!("{name}: all rules kept, all as expected");
     Ok(())
 }
 
 /// Plays with each number of dispatchers, writes one report, and judges all.
-fn sizes(file: &Path, sizes: &[usize], program: &Path, out: &Path, net: u8) -> Ended {
+fn sizes(file: &Path, sizes: &[usize], place: &Place) -> Ended {
+    let (Place { out, net, .. }, program) = (place, &place.own_program()?);
     let mut scenario = Scenario::read(file).map_err(|fault| (UNUSABLE, fault))?;
     let name = play::name_of(file);
     let mut outcomes: Vec<Outcome> = Vec::new();
@@ -175,13 +183,12 @@
         scenario.dispatchers.count = *size;
         scenario.check().map_err(|fault| (UNUSABLE, fault))?;
         let folder = out.join(format!("{name}-of-{size}"));
-        let play = Play { name: &name, scenario: &scenario, program, operated: true, out: &folder, net };
+        let play =
+            Play { name: &name, scenario: &scenario, program, operated: true, out: &folder, net: *net };
         outcomes.push(on_threads(4, play.run())?);
         report::write(out, &name, &scenario, &outcomes).map_err(|fault| (UNUSABLE, fault))?;
     }
-    for (what, values) in report::rows(&outcomes) {
-        println!("{what}: {}", values.join(" | "));
-    }
+    print_rows(&outcomes);
     let verdict = |outcome: &Outcome| {
         let named = |fault| (FAILED, format!("{name}, {} dispatchers: {fault}", outcome.dispatchers));
         outcome.verdict().map_err(named)
@@ -203,22 +210,18 @@
 }
 
 fn run(command: Command) -> Ended {
-    let own = |program: Option<PathBuf>| {
-        program.map_or_else(play::own_program, Ok).map_err(|fault| (UNUSABLE, fault))
-    };
     match command {
-        Command::Run { scenario, out, program, net } => play(&scenario, &[own(program)?], &out, net),
-        Command::Compare { scenario, other, out, program, net } => {
-            play(&scenario, &[own(program)?, other], &out, net)
-        }
-        Command::Sizes { scenario, dispatchers, out, program, net } => {
-            sizes(&scenario, &dispatchers, &own(program)?, &out, net)
+        Command::Run { scenario, place } => play(&scenario, &[place.own_program()?], &place),
+        Command::Compare { scenario, other, place } => {
+            play(&scenario, &[place.own_program()?, other], &place)
         }
-        Command::Pace { other, operator, program, rounds, out, net } => {
-            let own = own(program)?;
+        Command::Sizes { scenario, dispatchers, place } => sizes(&scenario, &dispatchers, &place),
+        Command::Pace { other, operator, rounds, place } => {
+            let own = place.own_program()?;
             let programs: Vec<&Path> =
                 [Some(own.as_path()), other.as_deref()].into_iter().flatten().collect();
-            on_threads(3, pace::compare(&programs, net, &out, operator.as_deref(), rounds.max(1)))
+            let pace = pace::compare(&programs, place.net, &place.out, operator.as_deref(), rounds.max(1));
+            on_threads(3, pace)
         }
         Command::Calls { dispatchers, away, zones, told, seeds } => {
             print!("{}", many::table(&dispatchers, away, zones.max(1), told, seeds.max(1)));
