Find what nodes can do from what they show, where the list gives no sizes or wrong ones

Ruled out: cold starts (none), link (0.5 of 1 fits nobody).

src/size.rs: downloads in hand over the busy part, times what own pulls show is sent of what is held (without it sizes came out 1.3 times too large: fills that wait are in hand too); without reports the work ended, which is less than a node can do unless its answers are slow. By node and by kind; told sizes are a prior of 10 s. Where sizes are not told each dispatcher probes a node every 0.5 s, and those not met before at once. The link's part follows what is found. Besides: a fill counts as too late only at a cache that is loaded over what it can do (poi-tile's were refused at load 0.5 while parents were cold), and where no parent bears a fill the copy's cache of another location is asked.

--- a/agreement/benches/switch.rs
+++ b/agreement/benches/switch.rs
@@ -25,6 +25,7 @@
     fn throttle(&mut self, _: DlId, _: Option<Nanos>) {}
     fn abandon(&mut self, _: DlId) {}
     fn arm(&mut self, _: Nanos, _: u64) {}
+    fn probe(&mut self, _node: NodeId) {}
     fn follow(&mut self) {}
     fn note(&mut self, _: &str) {}
     fn release(&mut self, _: DlId) {}
@@ -66,6 +67,8 @@
         come_back: true,
         max_come_back: Nanos(S),
         max_pulls: 6,
+        sizes_told: true,
+        probes: false,
         storms: None,
     }
 }
--- a/agreement/tests/agreement/common.rs
+++ b/agreement/tests/agreement/common.rs
@@ -54,6 +54,8 @@
         come_back: true,
         max_come_back: ms(1_000),
         max_pulls: 6,
+        sizes_told: true,
+        probes: false,
         storms: None,
     }
 }
--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -34,6 +34,11 @@
         ObjectId(self.objects.open((name.to_string(), part)))
     }
 
+    /// The index of a node that was listed.
+    pub fn held_node(&self, address: &str) -> Option<NodeId> {
+        self.nodes.held(&address.to_string()).map(NodeId)
+    }
+
     /// The index of a listed node, new or known.
     pub fn list_node(&mut self, address: &str) -> NodeId {
         NodeId(self.nodes.open(address.to_string()))
@@ -93,6 +98,10 @@
         say!(self, "arm\t{}\t{}\t{token}", self.instance, Secs(Some(span)));
     }
 
+    fn probe(&mut self, node: NodeId) {
+        say!(self, "poll\t{}\t{}", self.instance, self.nodes.key(node.0));
+    }
+
     fn follow(&mut self) {
         say!(self, "follow\t{}\t1", self.instance);
     }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -129,7 +129,7 @@
         let pair = pairs.split(',').filter_map(|pair| pair.split_once(':')).find(|pair| pair.0 == name)?;
         pair.1.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
     };
-    Report { in_hand: value("busy_reqs") }
+    Report { in_hand: value("busy_reqs"), busy: value("cpu_share") }
 }
 
 fn entry(fields: &mut Fields<'_>, door: &mut Door) -> Result<NodeEntry, String> {
@@ -247,8 +247,14 @@
             module.timer(now, fields.number("key_back")?, door);
         }
         "ping_result" => {
-            // The module sends no probes; the line is read and passed over.
             fields.expect(5)?;
+            let _rtt = fields.secs("rtt_s")?;
+            let host = fields.text("host")?;
+            let passed = outcome(fields.text("state_code")?)? == Outcome::Fulfilled;
+            let report = report(fields.text("health_info")?);
+            if let Some(node) = door.held_node(host).filter(|_| passed) {
+                module.probed(now, node, report);
+            }
         }
         "voided" => {
             fields.expect(4)?;
@@ -371,7 +377,8 @@
             pull_via	3	77	-	0	10.0.0.1:80	10.0.0.1:80	0	-
             arm	3	0.900000	1
             eor
-            not_now	3	77	-
+            pull_via	3	77	-	0	10.0.0.9:80	10.0.0.1:80	0	-
+            arm	3	0.900000	2
             eor
             eor
         "#]]
--- a/dispatcher/src/desk.rs
+++ b/dispatcher/src/desk.rs
@@ -493,6 +493,8 @@
         self.effects.push(Effect::Arm(self.now.after(span), Due::Module(token)));
     }
 
+    fn probe(&mut self, _node: NodeId) {}
+
     fn follow(&mut self) {
         // The change log is followed from the start.
     }
--- a/lab/src/many_rules.rs
+++ b/lab/src/many_rules.rs
@@ -89,6 +89,8 @@
         come_back: true,
         max_come_back: Nanos(1_000_000_000),
         max_pulls: 6,
+        sizes_told: true,
+        probes: false,
         storms: None,
     }
 }
--- a/protocol/src/nodes.rs
+++ b/protocol/src/nodes.rs
@@ -119,9 +119,12 @@
 
 /// A load report; values that are not read, or are no numbers, are passed over.
 fn report(pairs: &str) -> Report {
-    let mut pairs = pairs.split(';').filter_map(|pair| pair.split_once(':'));
-    let in_hand = pairs.find(|pair| pair.0 == "inflight").and_then(|pair| pair.1.parse().ok());
-    Report { in_hand: in_hand.filter(|value: &f64| value.is_finite() && *value >= 0.0) }
+    let pairs = pairs.split(';').filter_map(|pair| pair.split_once(':'));
+    let value = |name: &str| {
+        let found = pairs.clone().find(|pair| pair.0 == name).and_then(|pair| pair.1.parse().ok());
+        found.filter(|value: &f64| value.is_finite() && *value >= 0.0)
+    };
+    Report { in_hand: value("inflight"), busy: value("util") }
 }
 
 /// The head of an answer and the length of its bytes.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -226,6 +226,9 @@
             come_back: self.flag("limits.retry_after")?,
             max_come_back: self.span_or_zero("limits.max_retry_after_s")?,
             max_pulls: self.number("limits.max_attempts")?,
+            sizes_told: self.raw("weights") != Some("none"),
+            probes: self.flag("limits.probing")?
+                && (0..4).any(|at| self.listed("report.fields", at) == Some("cpu_share")),
             storms: None,
         })
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -202,6 +202,10 @@
     pub max_come_back: Nanos,
     /// The most pulls for one download.
     pub max_pulls: u32,
+    /// The list tells the sizes of nodes, exactly or roughly; else it gives every node the same.
+    pub sizes_told: bool,
+    /// Nodes may be probed, and say what they are doing.
+    pub probes: bool,
     /// What storms are met with; `None` for nothing.
     pub storms: Option<StormSettings>,
 }
@@ -337,6 +341,8 @@
 pub struct Report {
     /// Downloads in hand.
     pub in_hand: Option<f64>,
+    /// The part of the node that is busy, 0 to 1.
+    pub busy: Option<f64>,
 }
 
 /// A pull as the module orders it.
@@ -374,6 +380,8 @@
     fn abandon(&mut self, dl: DlId);
     /// Asks for [`crate::policy::Dispatcher::timer`] with `token` after `span`.
     fn arm(&mut self, span: Nanos, token: u64);
+    /// Asks a node what it is doing; the answer comes by [`crate::policy::Dispatcher::probed`].
+    fn probe(&mut self, node: NodeId);
     /// Opens the standing subscription to the list of nodes.
     fn follow(&mut self);
     /// Writes a line for on-call staff.
--- a/src/link.rs
+++ b/src/link.rs
@@ -34,6 +34,8 @@
     limit: f64,
     /// This dispatcher's part of the link, in transfers, as most caches were listed.
     part: f64,
+    /// The most that the sizes of listed caches came to.
+    most: f64,
 }
 
 /// Of the caches' links, where the location's own is not told.
@@ -41,17 +43,22 @@
 
 impl Default for Link {
     fn default() -> Self {
-        Link { pace: Ring::new(JUDGED_OVER, BUCKETS), out: 0.0, limit: 0.0, part: 0.0 }
+        Link { pace: Ring::new(JUDGED_OVER, BUCKETS), out: 0.0, limit: 0.0, part: 0.0, most: 0.0 }
     }
 }
 
 impl Link {
     /// The caches of the location have these links together: this dispatcher's part of the location's, in transfers, is
-    /// told, or else judged from theirs. The most counts.
-    pub fn listed(&mut self, s: &Settings, caches: f64) {
+    /// told, or else judged from theirs. The most that were listed count, at what those here have shown they can do.
+    pub fn listed(&mut self, s: &Settings, [listed, can]: [f64; 2]) {
+        self.most = self.most.max(listed);
+        let caches = self.most * if listed > 0.0 { can / listed } else { 1.0 };
         let all =
             if s.link_kb_per_s > 0.0 { s.link_kb_per_s / s.client_kb_per_s } else { JUDGED_PART * caches };
-        self.part = self.part.max(all / f64::from(s.zone_dispatchers.max(1)));
+        let part = all / f64::from(s.zone_dispatchers.max(1));
+        // What sizes are found to be moves the limit along.
+        self.limit *= if self.part > 0.0 { part / self.part } else { 1.0 };
+        self.part = part;
     }
 
     /// Own fills that may be out.
--- a/src/policy/ends.rs
+++ b/src/policy/ends.rs
@@ -83,10 +83,14 @@
             Remark::Hit => Some(end.took.secs()),
             _ => None,
         };
-        if let Some(n) = self.nodes.get_mut(sent.node).filter(|_| end.remark == Remark::Hit) {
-            n.saw_pace(now, end.took.secs(), dl.work_s);
-        }
         self.types[dl.d.content_type.0 as usize].saw(own_s);
+        // A hit shows how slow its cache is; of a fill only what was sent is known, by cache and source.
+        let hit_s = (end.remark == Remark::Hit).then_some(end.took.secs());
+        for id in [Some(sent.node), (!sent.is_look()).then_some(sent.source)].into_iter().flatten() {
+            let (cold, sharers) = self.cold_start(id);
+            let warm = !self.nodes.is_cold(now, id, cold.warm_after);
+            self.nodes.sent(now, id, if warm { sharers } else { 0 }, dl.work_s, hit_s);
+        }
         let filled = matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin);
         self.fills.add(now, dl.keep.ratio, filled && dl.keep.fill_rank > 0);
         // Where fills by way of the origin are not told, the source that was named stands in.
@@ -119,11 +123,13 @@
         }
         let answered = !matches!(end.outcome, TimedOut | Unreachable | CalledOff | NotSent);
         let mean = self.row(&dl.d).mean_work_s;
+        self.nodes.held(now, end.took.secs(), if end.outcome == Fulfilled { dl.work_s } else { 0.0 });
+        let can = self.nodes.get(sent.node).map_or(0.0, |n| self.can(n));
         if let Some(n) = self.nodes.get_mut(sent.node).filter(|_| answered) {
             n.heard = now;
             // A load report counts as a hit of mean size that took so many times as long.
             if let Some(in_hand) = end.report.in_hand {
-                n.saw_pace(now, mean * (in_hand / n.e.weight.max(0.1)).max(1.0), mean);
+                n.saw_pace(now, mean * (in_hand / can.max(0.1)).max(1.0), mean);
             }
         }
         match (end.outcome, from_source) {
@@ -184,8 +190,8 @@
     /// A pull is overdue. If its node, or its source, answered nothing since it was sent, that is silent: it
     /// is set aside, and what is out there is called off to go elsewhere.
     pub fn timer(&mut self, now: Nanos, token: u64, out: &mut impl Outbox) {
-        if token == u64::MAX {
-            return out.follow();
+        if token >= PROBE_DUE {
+            return if token == PROBE_DUE { self.probe(out) } else { out.follow() };
         }
         let Some(dl) = self.dls.get((token >> 32) as u32) else { return };
         let waits = dl.stage == Stage::Pulling && dl.rides.is_some() && dl.pulls.iter().all(|p| !p.out);
--- a/src/policy/fill.rs
+++ b/src/policy/fill.rs
@@ -41,16 +41,26 @@
     /// everywhere, so it is often held there when it is not here, one hop away; else it is one more look.
     pub(super) fn sibling(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
         let asked = !self.s.sideways || dl.pulls.iter().any(|p| !p.is_look() && !self.nodes.from_above(p));
-        let spared = !asked && !self.may_fetch(now, dl.keep.fill_rank);
         let homes = self.nodes.homes_away(dl.d.copy_hash, now, self.s.cache_cold.warm_after);
-        homes.into_iter().find(|id| spared && self.open(now, *id))
+        homes.into_iter().find(|id| !asked && self.open(now, *id))
+    }
+
+    /// Who fills a miss.
+    pub(super) fn filler(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
+        let spared = self.s.sideways && !self.may_fetch(now, dl.keep.fill_rank);
+        let first = if spared { self.sibling(now, dl) } else { None };
+        if first.is_some() || !self.link_has_room(now, dl) {
+            return first;
+        }
+        self.parent_for(now, dl).or_else(|| self.sibling(now, dl))
     }
 
     /// The better of the first two open parents in hash order, by smoothed time to first byte.
     pub(super) fn source(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
-        if !self.link_has_room(now, dl) {
-            return None;
-        }
+        if self.link_has_room(now, dl) { self.parent_for(now, dl) } else { None }
+    }
+
+    fn parent_for(&mut self, now: Nanos, dl: &Dl) -> Option<NodeId> {
         let mut parents: Vec<_> =
             self.nodes.parents().map(|n| (mix(dl.d.copy_hash ^ n.e.hash), n.e.node)).collect();
         parents.sort();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,14 +2,15 @@
 //! then a method for each thing that happens: `nodes_listed`, `nodes_changed`, `download`, `first_byte`,
 //! `pull_ended`, `client_gone`, `timer`, `object_purged`, `group_purged`. The module answers through the
 //! `Outbox` it is handed, before the call returns. Words and trait: `src/interface.rs`.
-//! `download` and `pull` are the ordinary path (MC3, docs/design.md); the rest acts when things fail.
 
 use crate::chance::Chance;
 use crate::cold::one_place;
 use crate::interface::*;
 use crate::link::Link;
+use crate::nodes::{Node, Nodes};
 use crate::purges::{Purged, Purges};
 use crate::ring::Ring;
+use crate::size::PROBE_EVERY;
 use crate::spare::Origin;
 use crate::state::*;
 use crate::storm::{Admission, Storm, Supply};
@@ -41,6 +42,7 @@
 const ASIDE_SPREAD_S: f64 = 2.0;
 const OVERDUE_STRETCH: f64 = 2.0; // a pull is looked at after this many times its work and
 const OVERDUE_SLACK: Nanos = Nanos(300_000_000);
+const PROBE_DUE: u64 = u64::MAX - 1; // the token of the next
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 1.5; // the next cache in hash order takes over
@@ -83,9 +85,10 @@
     /// A dispatcher that knows its settings and nothing else.
     pub fn new(s: Settings) -> Self {
         let row = |told: &ContentType| TypeRow::new(told, DEFAULT_WORK_S);
+        let storm = |told| Storm::new(told, &s.content_types, s.max_come_back, s.fall_for, s.seed);
         Dispatcher {
             types: s.content_types.iter().map(row).collect(),
-            nodes: Nodes::new(s.zone, s.parent_kind, s.origin_kind),
+            nodes: Nodes::new(s.zone, s.parent_kind, s.origin_kind, s.sizes_told),
             dls: Slots::default(),
             shadows: Shadows::default(),
             fills: Fills::new(FILLS_SEEN, BUCKETS),
@@ -94,9 +97,7 @@
             origin: Origin::new(),
             further: Ring::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
-            storm: s
-                .storms
-                .map(|told| Storm::new(told, &s.content_types, s.max_come_back, s.fall_for, s.seed)),
+            storm: s.storms.map(storm),
             again: Nanos::ZERO,
             chance: Chance::new(s.seed),
             serial: 0,
@@ -116,6 +117,28 @@
         if self.s.list_is_asked {
             out.follow();
         }
+        if self.s.probes && !self.s.sizes_told {
+            out.arm(PROBE_EVERY, PROBE_DUE);
+        }
+    }
+
+    /// What a node can do once it is warm, in transfers at once.
+    fn can(&self, n: &Node) -> f64 {
+        self.nodes.can(n, self.s.zone_dispatchers).max(0.1)
+    }
+
+    /// Asks a node at random what it is doing.
+    fn probe(&mut self, out: &mut impl Outbox) {
+        let asked = self.nodes.drawn([self.chance.share(), self.chance.share()]);
+        asked.into_iter().for_each(|id| out.probe(id));
+        out.arm(PROBE_EVERY, PROBE_DUE);
+    }
+
+    /// A node has said what it is doing.
+    pub fn probed(&mut self, now: Nanos, id: NodeId, report: Report) {
+        if self.nodes.reported(now, id, self.cold_start(id).0.warm_after, report) {
+            self.link.listed(&self.s, self.nodes.caches_can(self.s.zone_dispatchers));
+        }
     }
 
     fn row(&self, d: &Download) -> &TypeRow {
@@ -134,9 +157,12 @@
     }
 
     /// Changed entries. A node that drains or is gone leaves every choice at once (rule 3).
-    pub fn nodes_changed(&mut self, _now: Nanos, entries: &[NodeEntry], _out: &mut impl Outbox) {
+    pub fn nodes_changed(&mut self, _now: Nanos, entries: &[NodeEntry], out: &mut impl Outbox) {
+        if self.s.probes && !self.s.sizes_told {
+            self.nodes.unmet(entries).into_iter().for_each(|id| out.probe(id));
+        }
         self.nodes.relist(entries, |e| Node::new(*e, JUDGED_OVER, BUCKETS));
-        self.link.listed(&self.s, self.nodes.caches().map(|n| n.e.weight).sum());
+        self.link.listed(&self.s, self.nodes.caches_can(self.s.zone_dispatchers));
     }
 
     /// Pulls and fills believed to be out at a node.
--- a/src/policy/ordinary.rs
+++ b/src/policy/ordinary.rs
@@ -75,7 +75,7 @@
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
             Some(node) if rides == Some(node) && self.open(now, node) => Some((node, node)),
             Some(node) if self.too_full(now, &dl, node) => None,
-            Some(node) => self.sibling(now, &dl).or_else(|| self.source(now, &dl)).map(|from| (node, from)),
+            Some(node) => self.filler(now, &dl).map(|from| (node, from)),
             // A cold cache holds little: a look there would only spend what it can bear.
             None => match self.edge(now, &dl) {
                 Some(node) if self.nodes.is_cold(now, node, self.s.cache_cold.warm_after) => {
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -34,9 +34,9 @@
         let (took, work) = paces.iter().fold((mean, mean), |sum, n| (sum.0 + n[0], sum.1 + n[1]));
         let placed = |(n, [own_took, own_work]): (&Node, [f64; 2])| {
             let share = (mix(dl.d.copy_hash ^ n.e.hash) >> 11) as f64 / (1_u64 << 53) as f64;
-            let weight = n.e.weight.max(0.1);
+            let (weight, can) = (n.e.weight.max(0.1), self.can(n));
             let pace = ((own_took + mean * took / work) / (own_work + mean)).max(1.0);
-            let load = (prior + f64::from(n.out)) / (prior / pace + weight / z);
+            let load = (prior + f64::from(n.out)) / (prior / pace + can / z);
             (-(share.max(1e-18)).ln() / weight, n.e.node, load)
         };
         let mut caches: Vec<_> = self.nodes.caches().zip(paces).map(placed).collect();
@@ -49,7 +49,7 @@
     /// cause; harms an object that only fills would make a hit.
     pub(super) fn too_full(&self, now: Nanos, dl: &Dl, node: NodeId) -> bool {
         let load = self.caches(now, dl).iter().find(|c| c.1 == node).map_or(1.0, |c| c.2.max(1.0));
-        FILL_WEIGHT * dl.work_s * load + self.origin.usual_s() > IN_TIME * self.target_s(dl)
+        load > 1.0 && FILL_WEIGHT * dl.work_s * load + self.origin.usual_s() > IN_TIME * self.target_s(dl)
     }
 
     /// The first in hash order; the next takes over where it is not open, full, cold, or was tried.
--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -8,10 +8,7 @@
     /// be rough. All send what the node can do, with a variance of that times a pull's work: for a few pulls'
     /// worth three deviations lie under the limit. One download that is a large part is not for a cold node.
     pub(super) fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
-        let (cold, sharers) = match self.nodes.is_parent(id) {
-            true => (self.s.parent_cold, self.s.dispatchers),
-            false => (self.s.cache_cold, self.s.zone_dispatchers),
-        };
+        let (cold, sharers) = self.cold_start(id);
         if !self.nodes.is_cold(now, id, cold.warm_after) {
             return self.nodes.get(id).is_some();
         }
@@ -22,14 +19,21 @@
         chance > 0.0 && self.chance.share() < chance
     }
 
+    /// How a node starts, and how many dispatchers ask it.
+    pub(super) fn cold_start(&self, id: NodeId) -> (ColdStart, u32) {
+        match self.nodes.is_parent(id) {
+            true => (self.s.parent_cold, self.s.dispatchers),
+            false => (self.s.cache_cold, self.s.zone_dispatchers),
+        }
+    }
+
     /// What a node can do, in transfers at once; of a cold one no more than the rule lets it be asked for.
     pub(super) fn bearable(&self, n: &Node, at: Nanos) -> f64 {
-        let parent = Some(n.e.kind) == self.s.parent_kind;
-        let cold = if parent { self.s.parent_cold } else { self.s.cache_cold };
-        let Some(age) = n.age(at).filter(|age| *age < cold.warm_after) else { return n.e.weight };
+        let cold = self.cold_start(n.e.node).0;
+        let Some(age) = n.age(at).filter(|age| *age < cold.warm_after) else { return self.can(n) };
         let risen = age.since(self.s.fall_for).secs() / cold.warm_after.secs();
         let present = cold.share + (1.0 - cold.share) * risen;
-        (cold.fall_multiple * COLD_LOAD).min(1.0) * present * n.e.weight
+        (cold.fall_multiple * COLD_LOAD).min(1.0) * present * self.can(n)
     }
 
     /// Rule 2 for a further pull: what may have run goes again only where repeats are harmless.
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -184,6 +184,7 @@
     }
     fn abandon(&mut self, _dl: DlId) {}
     fn arm(&mut self, _span: Nanos, _token: u64) {}
+    fn probe(&mut self, _node: NodeId) {}
     fn follow(&mut self) {}
     fn note(&mut self, _line: &str) {}
     fn release(&mut self, _dl: DlId) {}
--- a/tests/module/common.rs
+++ b/tests/module/common.rs
@@ -34,6 +34,9 @@
     fn arm(&mut self, span: Nanos, token: u64) {
         self.1.push((span, token));
     }
+    fn probe(&mut self, node: NodeId) {
+        say!(self, "probe {}", node.0);
+    }
     fn follow(&mut self) {
         say!(self, "follow");
     }
@@ -88,6 +91,8 @@
         come_back: true,
         max_come_back: ms(2_000),
         max_pulls: 6,
+        sizes_told: true,
+        probes: false,
         storms: None,
     }
 }
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -9,4 +9,5 @@
 mod opening;
 mod ordinary;
 mod rules;
+mod sizes;
 mod storms;
