--- /dev/null
+++ b/dispatcher/src/desk/mod.rs
@@ -0,0 +1,274 @@
+//! The desk: downloads in hand, between the clients that wait for them and the nodes that serve them. The
+//! module sends through it, and every call becomes effects for the event loop or ends of pulls for the
+//! module; nothing here decides where a download goes.
+
+use crate::clients::Clients;
+use crate::config::Limits;
+use crate::copies::{self, Offered};
+use crate::effects::{Due, Effect};
+use crate::nodes::{Next, Nodes, Pool, PullRef};
+use copperroute::ids::Ids;
+use copperroute::interface::{
+    DlId, Download, Nanos, NodeId, ObjectId, Outbox, Outcome, Pull, PullEnd, Readiness, Remark, Report,
+};
+use copperroute::state::Slots;
+use copperroute_protocol::clients::{Answer, Request};
+use copperroute_protocol::hex::Hex;
+use copperroute_protocol::nodes::{self, Fetch};
+use copperroute_settings::Connections;
+use copperroute_store::record::Facts;
+
+mod list;
+mod outbox;
+mod pulls;
+
+use std::collections::{HashSet, VecDeque};
+
+/// Of the memory, what may wait for clients. With more than half of that, those that are held back for reading
+/// slowly get no further bytes; with more than all of it, nodes are not read from until half of it has left.
+const UNSENT_PART: u64 = 4;
+/// Of the descriptors, what connections to nodes may take before they are shared.
+const NODES_PART: usize = 4;
+/// Where a download's life is told, line by line, when `RUST_LOG` asks for it.
+const TRACE: &str = "copperroute::trace";
+
+/// A pull of a download in hand.
+#[derive(Debug)]
+struct HeldPull {
+    pull: Pull,
+    /// The id of the source, where one is named.
+    source: Option<String>,
+    at: Nanos,
+    out: bool,
+    /// The connection that carries it.
+    connection: u32,
+}
+
+/// A download in hand.
+#[derive(Debug)]
+struct Held {
+    serial: u64,
+    client: u32,
+    tag: u64,
+    request: Request,
+    expires: Nanos,
+    /// As the module was told of it; nothing until then.
+    told: Option<Download>,
+    /// It is answered with a copy, which has a tag.
+    of_copies: bool,
+    /// It may not simply run again.
+    once: bool,
+    /// Its answer is still owed.
+    owed: bool,
+    pulls: Vec<HeldPull>,
+}
+
+impl Held {
+    /// The copy that an answer brings, for those who keep them.
+    fn offer(&self, answer: &nodes::Answer) -> Option<(Download, Offered)> {
+        let (download, (etag, made_ms)) = (self.told?, answer.copy.filter(|_| !answer.current)?);
+        let key = copies::key(download.content_type.0, self.request.object, self.request.part)?;
+        let group = self.request.group.and_then(|group| u8::try_from(group).ok());
+        let facts = Facts { etag: etag.bytes(), made_ms, group };
+        Some((download, Offered { key, facts, body: answer.body.as_slice().into() }))
+    }
+}
+
+/// Everything that the module sends through.
+pub struct Desk {
+    /// The time of the event at hand.
+    pub now: Nanos,
+    /// Client connections.
+    pub clients: Clients,
+    nodes: Nodes,
+    dls: Ids<u64>,
+    held: Slots<Held>,
+    serial: u64,
+    owed: usize,
+    objects: Ids<(Hex, u64)>,
+    /// The ids of the downloads in hand.
+    asked: HashSet<Hex>,
+    most_unsent: u64,
+    /// Copies that came are offered to be kept.
+    pub keeps_copies: bool,
+    /// Those that came since they were last taken, with the downloads that they came for.
+    pub offered: Vec<(Download, Offered)>,
+    /// Ends of pulls that the module is to hear of.
+    pub ended: VecDeque<(PullRef, PullEnd)>,
+    /// What the event loop is asked for.
+    pub effects: Vec<Effect>,
+}
+
+impl Desk {
+    /// An empty desk.
+    pub fn new(connections: Connections, limits: Limits, seed: u64) -> Self {
+        Desk {
+            now: Nanos::ZERO,
+            clients: Clients::default(),
+            nodes: Nodes::new(connections, limits.sockets as usize / NODES_PART, seed),
+            dls: Ids::default(),
+            held: Slots::default(),
+            serial: 0,
+            owed: 0,
+            objects: Ids::default(),
+            asked: HashSet::new(),
+            most_unsent: limits.memory_mb * 1024 * 1024 / UNSENT_PART,
+            keeps_copies: false,
+            offered: Vec::new(),
+            ended: VecDeque::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes new limits.
+    pub fn limit(&mut self, connections: Connections, limits: Limits) {
+        self.most_unsent = limits.memory_mb * 1024 * 1024 / UNSENT_PART;
+        self.nodes.limit(connections, limits.sockets as usize / NODES_PART);
+    }
+
+    /// Nodes that have turned connections away since this was asked, and until when none is opened there.
+    pub fn turned_away(&mut self) -> Vec<(NodeId, Nanos)> {
+        self.nodes.turned_away()
+    }
+
+    /// Looks after connections; to be called now and then.
+    pub fn sweep(&mut self) {
+        self.nodes.stuck(self.now).into_iter().for_each(|connection| self.node_closed(connection));
+        self.nodes.sweep(self.now, &mut self.effects);
+    }
+
+    // Downloads.
+
+    /// Takes a download and arms its expiry.
+    pub fn open(
+        &mut self,
+        client: u32,
+        tag: u64,
+        request: Request,
+        of_copies: bool,
+        once: bool,
+    ) -> (DlId, ObjectId, Nanos) {
+        self.serial += 1;
+        let dl = DlId(self.dls.open(self.serial));
+        let object = ObjectId(self.objects.open((request.object, request.part)));
+        let expires = self.now.after(Nanos(request.timeout_ms.saturating_mul(1_000_000)));
+        self.effects.push(Effect::Arm(expires, Due::Expiry(dl, self.serial)));
+        self.asked.insert(request.id);
+        let (id, of, part) = (request.id, &request.content_type, request.part);
+        let (named, ms) = (request.object, request.timeout_ms);
+        log::debug!(target: TRACE, "{id} taken from client {client}: {of} {named} part {part} in {ms} ms");
+        if let Some(client) = self.clients.get_mut(client) {
+            client.open.insert(tag, dl);
+        }
+        let (serial, owed, pulls) = (self.serial, true, Vec::new());
+        self.held.put(
+            dl.0,
+            Held { serial, client, tag, request, expires, told: None, of_copies, once, owed, pulls },
+        );
+        self.owed += 1;
+        (dl, object, expires)
+    }
+
+    /// The serial of a download in hand.
+    pub fn serial_of(&self, dl: DlId) -> u64 {
+        self.held.get(dl.0).map_or(0, |held| held.serial)
+    }
+
+    /// Object, part and the client's own copy that a download in hand names.
+    pub fn asked_for(&self, dl: DlId) -> Option<(Hex, u64, Option<Hex>)> {
+        self.held.get(dl.0).map(|held| (held.request.object, held.request.part, held.request.held))
+    }
+
+    /// The module is told of a download in these words.
+    pub fn tell(&mut self, download: &Download) {
+        if let Some(held) = self.held.get_mut(download.dl.0) {
+            held.told = Some(*download);
+        }
+    }
+
+    /// Whether a download with this id is in hand.
+    pub fn has(&self, id: Hex) -> bool {
+        self.asked.contains(&id)
+    }
+
+    /// Writes to a client, if it is still there.
+    pub fn write(&mut self, client: u32, tag: u64, answer: Answer<'_>) {
+        self.clients.write(client, tag, answer, self.now, &mut self.effects);
+        self.balance();
+    }
+
+    /// Bytes for a client have left.
+    pub fn client_written(&mut self, client: u32, total: u64) {
+        self.clients.written(client, total, self.now, &mut self.effects);
+        self.balance();
+    }
+
+    /// A client's connection ends; returns what was open on it.
+    pub fn remove_client(&mut self, client: u32) -> Vec<DlId> {
+        let open = self.clients.remove(client, &mut self.effects);
+        self.balance();
+        open
+    }
+
+    /// While clients take too little, nodes are not read from: what they hold back costs no memory here.
+    fn balance(&mut self) {
+        let most = self.most_unsent / if self.nodes.are_held_back() { 2 } else { 1 };
+        self.nodes.hold_back(self.clients.unsent() > most, &mut self.effects);
+    }
+
+    /// Notes that the answer of a download is owed no more; tells who asked for it, if it was owed.
+    fn settle(&mut self, dl: DlId) -> Option<(u32, u64)> {
+        let held = self.held.get_mut(dl.0).filter(|held| held.owed)?;
+        held.owed = false;
+        self.owed -= 1;
+        if let Some(client) = self.clients.get_mut(held.client) {
+            client.open.remove(&held.tag);
+        }
+        Some((held.client, held.tag))
+    }
+
+    /// The final answer of a download, once.
+    pub fn answer(&mut self, dl: DlId, answer: Answer<'_>) {
+        if let Some(held) = self.held.get(dl.0).filter(|held| held.owed) {
+            log::debug!(target: TRACE, "{} answered {}", held.request.id, answer.word());
+        }
+        if let Some((client, tag)) = self.settle(dl) {
+            self.write(client, tag, answer);
+        }
+    }
+
+    /// Nobody waits for this download any more; tells whether anybody did.
+    pub fn forsake(&mut self, dl: DlId) -> bool {
+        self.settle(dl).is_some()
+    }
+
+    /// Whether this still is the download with that serial, and its answer is owed.
+    pub fn is_owed(&self, dl: DlId, serial: u64) -> bool {
+        self.held.get(dl.0).is_some_and(|held| held.owed && held.serial == serial)
+    }
+
+    /// Downloads whose answer is owed.
+    pub fn all_owed(&self) -> Vec<(DlId, u64)> {
+        let owed = self.held.iter().filter(|held| held.owed);
+        owed.filter_map(|held| self.dls.held(&held.serial).map(|slot| (DlId(slot), held.serial))).collect()
+    }
+
+    /// Pulls and fills that are out at a node.
+    pub fn out_at(&self, node: NodeId) -> u32 {
+        let out = self.held.iter().flat_map(|held| &held.pulls).filter(|pull| pull.out);
+        out.filter(|out| out.pull.node == node || out.pull.source == node).count() as u32
+    }
+
+    /// Whether no answer is owed, and all that were given have left.
+    pub fn is_clear(&self) -> bool {
+        self.owed == 0 && self.clients.unsent() == 0
+    }
+
+    /// The time of a download is over: what is out for it ends unanswered.
+    pub fn expire(&mut self, dl: DlId) {
+        let pulls = self.held.get(dl.0).map_or(0, |held| held.pulls.len());
+        for number in 0..pulls as u32 {
+            self.give_up(PullRef { dl, number }, Outcome::TimedOut);
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/desk/outbox.rs
@@ -0,0 +1,61 @@
+//! What the decisions order.
+
+use super::*;
+
+impl Outbox for Desk {
+    fn pull(&mut self, dl: DlId, pull: &Pull) {
+        let Some(held) = self.held.get_mut(dl.0) else { return };
+        let place = PullRef { dl, number: held.pulls.len() as u32 };
+        let source = (pull.source != pull.node).then(|| self.nodes.id(pull.source).to_string());
+        let id = held.request.id;
+        let (node, rank) = (self.nodes.id(pull.node), pull.rank);
+        let from = source.as_deref().unwrap_or("-");
+        log::debug!(target: TRACE, "{id} pull {} to {node} from {from} rank {rank}", place.number);
+        let connection = self.nodes.take(pull.node, place, id, held.once, self.now, &mut self.effects);
+        let (at, number) = (self.now, connection.unwrap_or_default());
+        held.pulls.push(HeldPull { pull: *pull, source, at, out: true, connection: number });
+        match connection {
+            Some(connection) => self.hand_over(connection),
+            // All its connections carry what they may, which says nothing of the node.
+            None => self.end(place, Outcome::NotSent, None),
+        }
+    }
+
+    fn call_off(&mut self, dl: DlId, number: u32) {
+        self.give_up(PullRef { dl, number }, Outcome::CalledOff);
+    }
+
+    fn throttle(&mut self, dl: DlId, come_back: Option<Nanos>) {
+        self.answer(dl, Answer::Throttled(come_back.map(|span| span.0.div_ceil(1_000_000))));
+    }
+
+    fn abandon(&mut self, dl: DlId) {
+        self.answer(dl, Answer::Abandoned);
+    }
+
+    fn arm(&mut self, span: Nanos, token: u64) {
+        self.effects.push(Effect::Arm(self.now.after(span), Due::Module(token)));
+    }
+
+    fn probe(&mut self, _node: NodeId) {}
+
+    fn follow(&mut self) {
+        // The change log is followed from the start.
+    }
+
+    fn note(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+
+    fn release(&mut self, dl: DlId) {
+        if let Some(held) = self.held.get(dl.0) {
+            self.asked.remove(&held.request.id);
+        }
+        self.held.clear(dl.0);
+        self.dls.release(dl.0);
+    }
+
+    fn release_object(&mut self, object: ObjectId) {
+        self.objects.release(object.0);
+    }
+}
--- /dev/null
+++ b/dispatcher/src/desk/pulls.rs
@@ -0,0 +1,135 @@
+//! Pulls on their connections: handed over, ended, given up.
+
+use super::*;
+
+impl Desk {
+    /// Ends a pull that is out, for the module to hear.
+    pub(super) fn end(&mut self, pull: PullRef, outcome: Outcome, told: Option<&nodes::Answer>) {
+        let Some(held) = self.held.get_mut(pull.dl.0) else { return };
+        let Some(ended) = held.pulls.get_mut(pull.number as usize).filter(|ended| ended.out) else { return };
+        ended.out = false;
+        let took = self.now.since(ended.at);
+        let closed = outcome == Outcome::Fulfilled;
+        let why = told.map_or(Remark::None, |told| told.remark);
+        let (id, node) = (held.request.id, self.nodes.id(ended.pull.node));
+        let bytes = told.map_or(0, |told| told.body.len());
+        let size = held.request.size_kb.unwrap_or_default();
+        let (number, us) = (pull.number, took.0 / 1_000);
+        log::debug!(target: TRACE, "{id} pull {number} at {node} {outcome:?} {why:?} in {us} us, {bytes} bytes for {size} KB");
+        let client = held.client;
+        if self.keeps_copies && closed {
+            self.offered.extend(told.and_then(|told| held.offer(told)));
+        }
+        if let Some(told) = told.filter(|_| closed) {
+            let short = self.clients.unsent() > self.most_unsent / 2;
+            self.answer(
+                pull.dl,
+                match told.current {
+                    true => Answer::Current,
+                    // It may have run, so nothing is promised; others are served from what memory is left.
+                    false if short && self.clients.is_held_back(client) => Answer::Abandoned,
+                    false => Answer::Fulfilled(&told.body),
+                },
+            );
+        }
+        let waited = told.and_then(|told| told.waited);
+        let remark = told.map_or(Remark::None, |told| told.remark);
+        let report = told.map_or(Report::default(), |told| told.report);
+        self.ended.push_back((pull, PullEnd { outcome, took, closed, waited, remark, report }));
+    }
+
+    /// Gives up a pull that is out. One that was not sent when its time was up never ran.
+    pub(super) fn give_up(&mut self, pull: PullRef, outcome: Outcome) {
+        let Some(held) = self.held.get(pull.dl.0) else { return };
+        let Some(out) = held.pulls.get(pull.number as usize).filter(|out| out.out) else { return };
+        let id = held.request.id;
+        let unsent = self.nodes.give_up(out.connection, pull, id, held.owed, &mut self.effects);
+        let outcome = if unsent && outcome == Outcome::TimedOut { Outcome::NotSent } else { outcome };
+        self.end(pull, outcome, None);
+    }
+
+    /// Hands over what waits for a connection: a pull is put into words as it is written.
+    pub(super) fn hand_over(&mut self, connection: u32) {
+        let (held, now) = (&self.held, self.now);
+        let fetch = |pull: PullRef| {
+            let held = held.get(pull.dl.0)?;
+            let out = held.pulls.get(pull.number as usize)?;
+            let (request, order) = (&held.request, &out.pull);
+            let until = order.try_for.map_or(held.expires, |span| out.at.after(span).min(held.expires));
+            let fetch = Fetch {
+                id: request.id,
+                content_type: &request.content_type,
+                object: request.object,
+                part: request.part,
+                wait: until.since(now),
+                source: out.source.as_deref(),
+                // The age means the same moment as when it was ordered.
+                order: Pull { max_age: order.max_age.map(|age| age.after(now.since(out.at))), ..*order },
+                held: request.held,
+                body: &request.body,
+            };
+            Some((fetch, held.expires))
+        };
+        self.nodes.hand_over(connection, now, fetch, &mut self.effects);
+    }
+
+    // Node connections.
+
+    /// A connection to a node has come up.
+    pub fn node_connected(&mut self, connection: u32) {
+        self.nodes.connected(connection, self.now, &mut self.effects);
+        self.hand_over(connection);
+    }
+
+    /// Bytes for a node have left.
+    pub fn node_written(&mut self, connection: u32, total: u64) {
+        self.nodes.written(connection, total);
+        self.hand_over(connection);
+    }
+
+    /// A node has sent bytes.
+    pub fn node_received(&mut self, connection: u32, bytes: &[u8]) {
+        self.nodes.received(connection, bytes, self.now);
+        loop {
+            match self.nodes.answer(connection, self.now) {
+                Next::Nothing => return self.nodes.close_if_spent(connection, &mut self.effects),
+                Next::Answer(None, _) => {}
+                Next::Answer(Some(pull), answer) if self.is_sound(pull, &answer) => {
+                    self.end(pull, answer.outcome, Some(&answer));
+                }
+                Next::Answer(Some(pull), _) => {
+                    self.end(pull, Outcome::Broken, None);
+                    return self.node_closed(connection);
+                }
+                Next::Unreadable => return self.node_closed(connection),
+            }
+        }
+    }
+
+    /// Whether an answer can be one to this pull: a copy comes with its tag and time, and only who holds one
+    /// hears that it still is the one. Where not, nothing on that connection can be trusted.
+    pub(super) fn is_sound(&self, pull: PullRef, answer: &nodes::Answer) -> bool {
+        let Some(held) = self.held.get(pull.dl.0) else { return true };
+        let copy = answer.copy.is_some() || !held.of_copies;
+        let current = held.request.held.is_some() && answer.body.is_empty();
+        answer.outcome != Outcome::Fulfilled || (copy && (current || !answer.current))
+    }
+
+    /// A connection to a node is over, or never came up: what had not left whole never ran.
+    pub fn node_closed(&mut self, connection: u32) {
+        if let Some(node) = self.nodes.node_of(connection) {
+            let id = self.nodes.id(node);
+            log::debug!(target: TRACE, "node {id}: connection {connection} ended");
+        }
+        for (pull, outcome) in self.nodes.ended(connection, self.now, &mut self.effects) {
+            self.end(pull, outcome, None);
+        }
+    }
+
+    /// The time to connect is over.
+    pub fn connect_overdue(&mut self, connection: u32) {
+        if self.nodes.is_connecting(connection) {
+            self.node_closed(connection);
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/event_loop/connections.rs
@@ -0,0 +1,221 @@
+//! Sockets: accepted, connected, read, written and closed.
+
+use super::*;
+
+/// A connection, and what it has still to write.
+pub(super) struct Connection {
+    pub(super) stream: Rc<TcpStream>,
+    pub(super) source: Source,
+    pub(super) token: RegistrationToken,
+    pub(super) connecting: bool,
+    /// Its bytes are wanted.
+    pub(super) reads: bool,
+    pub(super) unwritten: Vec<u8>,
+    pub(super) at: usize,
+    /// Bytes that have left in all.
+    pub(super) left: u64,
+}
+
+impl Carrier {
+    /// Accepts what waits; tells whether there were descriptors for it.
+    pub(super) fn accept(&mut self, listener: &TcpListener) -> bool {
+        for _ in 0..ACCEPTED_AT_ONCE {
+            match listener.accept() {
+                Ok((stream, from)) => {
+                    self.last_client += 1;
+                    let peer = Peer::Client(self.last_client);
+                    if self.insert(peer, stream, false) {
+                        self.reduce(Event::Accepted(self.last_client, from.ip()));
+                    }
+                }
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return true,
+                Err(fault)
+                    if matches!(fault.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(fault) => {
+                    self.complaints.warn(self.clock.now(), format_args!("accept: {fault}"));
+                    self.reduce(Event::NoDescriptors);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    pub(super) fn connect(&mut self, peer: Peer, address: SocketAddr) {
+        let begin = || -> io::Result<TcpStream> {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_nonblocking(true)?;
+            match socket.connect(&address.into()) {
+                // What is under way shows as writable later, or as an error.
+                Err(fault) if fault.raw_os_error() != Some(EINPROGRESS) => Err(fault),
+                _ => Ok(socket.into()),
+            }
+        };
+        let begun = begin().or_else(|fault| {
+            // Being out of descriptors says nothing of the other side.
+            if matches!(fault.raw_os_error(), Some(EMFILE | ENFILE)) {
+                self.reduce(Event::NoDescriptors);
+                return begin();
+            }
+            Err(fault)
+        });
+        let inserted = begun.is_ok_and(|stream| self.insert(peer, stream, true));
+        if !inserted {
+            self.reduce(Event::Closed(peer));
+        }
+    }
+
+    pub(super) fn insert(&mut self, peer: Peer, stream: TcpStream, connecting: bool) -> bool {
+        let interest = if connecting { Interest::WRITE } else { Interest::READ };
+        let prepared = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+        let stream = Rc::new(stream);
+        let generic = Generic::new(stream.clone(), interest, Mode::Level);
+        let source = Source::new(generic, move |readiness, _, inbox: &mut Inbox| {
+            inbox.ready.push((peer, readiness));
+            Ok(PostAction::Continue)
+        });
+        let registered = self.handle.register_dispatcher(source.clone());
+        match (prepared, registered) {
+            (Ok(()), Ok(token)) => {
+                let (unwritten, at, left) = (Vec::new(), 0, 0);
+                let connection =
+                    Connection { stream, source, token, connecting, reads: true, unwritten, at, left };
+                self.connections.insert(peer, connection);
+                true
+            }
+            (prepared, registered) => {
+                log::error!("connection: {:?} {:?}", prepared.err(), registered.err());
+                false
+            }
+        }
+    }
+
+    pub(super) fn close(&mut self, peer: Peer) {
+        if let Some(mut connection) = self.connections.remove(&peer) {
+            // A client's answers go out as far as they can at once. What a node was not sent by now counts as
+            // never sent, and may be on its way to another: not a byte more.
+            if matches!(peer, Peer::Client(_)) {
+                let _ = connection.flush();
+            }
+            self.handle.remove(connection.token);
+        }
+    }
+
+    pub(super) fn closed(&mut self, peer: Peer) {
+        self.close(peer);
+        self.reduce(Event::Closed(peer));
+    }
+
+    pub(super) fn ready(&mut self, peer: Peer, readiness: Readiness, scratch: &mut [u8]) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        if connection.connecting {
+            match connection.stream.take_error() {
+                Ok(None) => {
+                    connection.connecting = false;
+                    self.set_interest(peer);
+                    self.reduce(Event::Connected(peer));
+                }
+                // It was accepted and reset at once: not the same as a node that is not there.
+                Ok(Some(fault)) if fault.kind() == ErrorKind::ConnectionReset => {
+                    self.reduce(Event::Connected(peer));
+                    self.closed(peer);
+                }
+                _ => self.closed(peer),
+            }
+            return;
+        }
+        if readiness.writable {
+            self.flush(peer);
+        }
+        if readiness.readable || readiness.error {
+            self.read(peer, scratch);
+        }
+    }
+
+    /// Reads once: what is left shows in the next turn.
+    pub(super) fn read(&mut self, peer: Peer, scratch: &mut [u8]) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        match (&*connection.stream).read(scratch) {
+            Ok(0) => self.closed(peer),
+            Ok(count) => self.reduce(Event::Received(peer, &scratch[..count])),
+            Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => self.closed(peer),
+        }
+    }
+
+    pub(super) fn write(&mut self, peer: Peer, bytes: Vec<u8>) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        match connection.unwritten.is_empty() {
+            true => connection.unwritten = bytes,
+            false => connection.unwritten.extend_from_slice(&bytes),
+        }
+        self.dirty.push(peer);
+    }
+
+    /// Writes what has gathered in this turn; what leaves may bring more to write.
+    pub(super) fn flush_all(&mut self) {
+        while let Some(peer) = self.dirty.pop() {
+            self.flush(peer);
+        }
+    }
+
+    pub(super) fn flush(&mut self, peer: Peer) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        if connection.connecting || connection.unwritten.is_empty() {
+            return;
+        }
+        let before = connection.left;
+        let flushed = connection.flush();
+        let left = connection.left;
+        self.set_interest(peer);
+        // First what has left: a pull that left whole may have run, though the connection has ended.
+        if left > before {
+            self.reduce(Event::Written(peer, left));
+        }
+        if flushed.is_err() {
+            self.closed(peer);
+        }
+    }
+
+    /// Follows what the connection waits for.
+    pub(super) fn set_interest(&mut self, peer: Peer) {
+        let Some(connection) = self.connections.get(&peer) else { return };
+        let writable = connection.connecting || !connection.unwritten.is_empty();
+        let interest = Interest { readable: connection.reads && !connection.connecting, writable };
+        let mut source = connection.source.as_source_mut();
+        if (source.interest.readable, source.interest.writable) == (interest.readable, interest.writable) {
+            return;
+        }
+        source.interest = interest;
+        drop(source);
+        if let Err(fault) = self.handle.update(&connection.token) {
+            log::error!("connection: {fault}");
+        }
+    }
+}
+
+// Linux's numbers: a connection is under way; the process, or the machine, is out of descriptors.
+const EINPROGRESS: i32 = 115;
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
+impl Connection {
+    /// Writes as much as goes.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        while self.at < self.unwritten.len() {
+            match (&*self.stream).write(&self.unwritten[self.at..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => {
+                    self.at += count;
+                    self.left += count as u64;
+                }
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(fault) => return Err(fault),
+            }
+        }
+        self.unwritten = Vec::new();
+        self.at = 0;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/dispatcher/src/event_loop/mod.rs
@@ -0,0 +1,272 @@
+//! The event loop: carries sockets, timers and signals to the reducer, and out what it asks for.
+
+use crate::clock::Clock;
+use crate::config::{Config, Sources};
+use crate::effects::{Due, Effect, Event, Peer};
+use crate::keeper::{self, Keeper};
+use crate::logs::{self, Sparse};
+use crate::reducer::Reducer;
+use calloop::channel::{Sender, channel};
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use copperroute_settings::operator::{Numbers, SyncWhen};
+use copperroute_store::disk::{Disk, Limits, Sync};
+use copperroute_store::record::Facts;
+use copperroute_store::worker::{Answers, Worker};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+mod connections;
+mod startup;
+
+use connections::Connection;
+use startup::{listen, modified, open_disk, open_list};
+
+/// Bytes read from one connection in one turn, so that none holds up the others.
+const READ_AT_ONCE: usize = 256 * 1024;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+/// Connections accepted in one turn.
+const ACCEPTED_AT_ONCE: usize = 64;
+/// How often it is looked whether the operator's file has changed, where versions of rules come with it.
+const WATCHED: Duration = Duration::from_secs(1);
+/// Without a descriptor for a client that waits, the listener rests for so long.
+const REST: Duration = Duration::from_millis(20);
+
+type Source = calloop::Dispatcher<'static, Generic<Rc<TcpStream>>, Inbox>;
+
+/// What one turn of the loop has found.
+#[derive(Default)]
+struct Inbox {
+    ready: Vec<(Peer, Readiness)>,
+    due: Vec<Due>,
+    accept: bool,
+    rested: bool,
+    terminate: bool,
+    reload: bool,
+    disk: Vec<Told>,
+}
+
+/// What the disk's thread tells.
+struct Told {
+    ticket: u64,
+    copy: Option<(Facts, Vec<u8>)>,
+    off: bool,
+}
+
+/// Brings it to the loop.
+struct Bring(Sender<Told>);
+
+impl Answers for Bring {
+    fn read(&self, ticket: u64, copy: Option<(Facts, Vec<u8>)>) {
+        let _ = self.0.send(Told { ticket, copy, off: false });
+    }
+
+    fn marked(&self, _seq: u64) {}
+
+    fn off(&self) {
+        let _ = self.0.send(Told { ticket: 0, copy: None, off: true });
+    }
+}
+
+struct Carrier {
+    handle: LoopHandle<'static, Inbox>,
+    clock: Clock,
+    reducer: Reducer,
+    connections: HashMap<Peer, Connection>,
+    /// Connections with something new to write.
+    dirty: Vec<Peer>,
+    last_client: u32,
+    complaints: Sparse,
+    stopped: bool,
+    /// The disk's thread, where there is one.
+    disk: Option<Worker>,
+    /// The thread that keeps the last good list, where there is one.
+    keeper: Option<Keeper>,
+}
+
+/// Serves with the configuration in these files, as it was read from them, until told to end.
+pub fn serve(sources: &Sources, mut config: Config) -> Result<(), String> {
+    let said = |what: &'static str| move |fault: calloop::Error| format!("{what}: {fault}");
+    let listener = listen(config.listen).map_err(|fault| format!("{}: {fault}", config.listen))?;
+    let mut event_loop: EventLoop<'static, Inbox> = EventLoop::try_new().map_err(said("event loop"))?;
+    let handle = event_loop.handle();
+    let signals =
+        Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(said("signals"))?;
+    // Its thread must come after the signals are kept from all threads, or they would end it and the program.
+    let log = logs::start();
+    handle
+        .insert_source(signals, |event, _, inbox| match event.signal() {
+            Signal::SIGHUP => inbox.reload = true,
+            _ => inbox.terminate = true,
+        })
+        .map_err(|fault| said("signals")(fault.error))?;
+    let listener = Rc::new(listener);
+    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+    let listening = handle
+        .insert_source(source, |_, _, inbox| {
+            inbox.accept = true;
+            Ok(PostAction::Continue)
+        })
+        .map_err(|fault| said("listener")(fault.error))?;
+    let limits = config.limits;
+    log::info!(
+        "{} listens on {}, {} MB, {} descriptors",
+        config.name,
+        config.listen,
+        limits.memory_mb,
+        limits.sockets
+    );
+    let disk = open_disk(&config)?;
+    let clock = Clock::start();
+    let keeper = open_list(&mut config, &clock)?;
+    let watched = config.agreeing.is_some();
+    let reducer = Reducer::new(config, clock.epoch());
+    let mut carrier = Carrier {
+        handle,
+        clock,
+        reducer,
+        connections: HashMap::new(),
+        dirty: Vec::new(),
+        last_client: 0,
+        complaints: Sparse::default(),
+        stopped: false,
+        disk: None,
+        keeper,
+    };
+    let mut scratch = vec![0; READ_AT_ONCE];
+    let mut inbox = Inbox::default();
+    if let Some(disk) = disk {
+        let (tell, told) = channel();
+        carrier
+            .handle
+            .insert_source(told, |event, _, inbox| {
+                if let calloop::channel::Event::Msg(told) = event {
+                    inbox.disk.push(told);
+                }
+            })
+            .map_err(|fault| said("disk")(fault.error))?;
+        let (prints, marked) = (disk.prints(), disk.seq());
+        carrier.disk = Some(Worker::start(disk, Bring(tell)));
+        carrier.reduce(Event::DiskReady(&prints, marked));
+    }
+    if let Some(path) = sources.operator.clone().filter(|_| watched) {
+        let mut seen = modified(&path);
+        let watch = Timer::from_duration(WATCHED);
+        let inserted = carrier.handle.insert_source(watch, move |_, _, inbox| {
+            let now = modified(&path);
+            inbox.reload |= std::mem::replace(&mut seen, now) != now;
+            TimeoutAction::ToDuration(WATCHED)
+        });
+        inserted.map_err(|fault| said("timer")(fault.error))?;
+    }
+    carrier.reduce(Event::Started);
+    while !carrier.stopped {
+        carrier.flush_all();
+        event_loop.dispatch(None, &mut inbox).map_err(said("event loop"))?;
+        if std::mem::take(&mut inbox.terminate) {
+            carrier.reduce(Event::Terminate);
+        }
+        if std::mem::take(&mut inbox.reload) {
+            carrier.reload(sources);
+        }
+        // What has come is read before time is called on it: after a pause of the machine's all seems overdue.
+        // Each connection is read once, so what is due waits for a bounded time.
+        for (peer, readiness) in std::mem::take(&mut inbox.ready) {
+            carrier.ready(peer, readiness, &mut scratch);
+        }
+        for told in std::mem::take(&mut inbox.disk) {
+            let copy = told.copy.as_ref().map(|(facts, body)| (*facts, body.as_slice()));
+            carrier.reduce(if told.off { Event::DiskOff } else { Event::CopyRead(told.ticket, copy) });
+        }
+        for due in std::mem::take(&mut inbox.due) {
+            carrier.reduce(Event::Due(due));
+        }
+        if std::mem::take(&mut inbox.rested) {
+            carrier.handle.enable(&listening).map_err(said("listener"))?;
+        }
+        if std::mem::take(&mut inbox.accept) && !carrier.accept(&listener) {
+            carrier.handle.disable(&listening).map_err(said("listener"))?;
+            let rest = Timer::from_duration(REST);
+            carrier.insert_timer(rest, |inbox| inbox.rested = true);
+        }
+    }
+    carrier.flush_all();
+    if let Some(disk) = carrier.disk.take() {
+        disk.stop();
+    }
+    if let Some(keeper) = carrier.keeper.take() {
+        keeper.stop();
+    }
+    log.finish();
+    Ok(())
+}
+
+impl Carrier {
+    fn insert_timer(&self, timer: Timer, mut then: impl FnMut(&mut Inbox) + 'static) {
+        let inserted = self.handle.insert_source(timer, move |_, _, inbox| {
+            then(inbox);
+            TimeoutAction::Drop
+        });
+        if let Err(fault) = inserted {
+            log::error!("timer: {}", fault.error);
+        }
+    }
+
+    fn reduce(&mut self, event: Event<'_>) {
+        for effect in self.reducer.reduce(self.clock.now(), event) {
+            match effect {
+                Effect::Connect(peer, address) => self.connect(peer, address),
+                Effect::Write(peer, bytes) => self.write(peer, bytes),
+                Effect::Read(peer, wanted) => {
+                    if let Some(connection) = self.connections.get_mut(&peer) {
+                        connection.reads = wanted;
+                    }
+                    self.set_interest(peer);
+                }
+                Effect::Close(peer) => self.close(peer),
+                Effect::Arm(at, due) => {
+                    let timer = Timer::from_deadline(self.clock.instant(at));
+                    self.insert_timer(timer, move |inbox| inbox.due.push(due));
+                }
+                Effect::ReadCopy(key, ticket) => {
+                    if !self.disk.as_ref().is_some_and(|disk| disk.read(key, ticket)) {
+                        self.reduce(Event::CopyRead(ticket, None));
+                    }
+                }
+                Effect::KeepCopy(key, facts, rank, body) => {
+                    if let Some(disk) = &self.disk {
+                        disk.write(key, facts, rank, body);
+                    }
+                }
+                Effect::MarkObject(object, at_ms, seq) => {
+                    self.disk.iter().for_each(|disk| disk.purge_object(object, at_ms, seq));
+                }
+                Effect::MarkGroup(group, at_ms, seq) => {
+                    self.disk.iter().for_each(|disk| disk.purge_group(group, at_ms, seq));
+                }
+                Effect::KeepList(bytes) => {
+                    if let Some(keeper) = &self.keeper {
+                        keeper.keep(bytes);
+                    }
+                }
+                Effect::Exit => self.stopped = true,
+            }
+        }
+    }
+
+    /// Reads the configuration again; one that can't be used changes nothing.
+    fn reload(&mut self, sources: &Sources) {
+        match sources.read() {
+            Ok(config) => self.reduce(Event::Reload(&config)),
+            Err(fault) => log::error!("configuration: not taken: {fault}"),
+        }
+    }
+}
--- /dev/null
+++ b/dispatcher/src/nodes/list.rs
@@ -0,0 +1,62 @@
+//! Which nodes are listed, and where.
+
+use super::*;
+
+impl Nodes {
+    /// A node's id.
+    pub fn id(&self, node: NodeId) -> &str {
+        self.ids.key(node.0)
+    }
+
+    /// The index of a listed node, new or known.
+    pub fn list(&mut self, id: &str, pool: Pool, now: Nanos, effects: &mut Vec<Effect>) -> NodeId {
+        let node = NodeId(self.ids.open(id.to_string()));
+        let address = pool.address.map_or("no address".to_string(), |address| address.to_string());
+        log::info!("node {}: {id} at {address}, {:?}", node.0, pool.readiness);
+        let Some(known) = self.pools.get_mut(node.0) else {
+            self.pools.put(node.0, pool);
+            return node;
+        };
+        let anew = pool.started > known.started || (pool.address.is_some() && pool.address != known.address);
+        let (connections, opening) = (std::mem::take(&mut known.connections), known.opening);
+        *known = Pool { address: pool.address.or(known.address), connections, opening, ..pool };
+        if anew {
+            self.retire(node, now, effects);
+        }
+        node
+    }
+
+    /// The nodes that a whole list does not name.
+    pub fn unlisted(&self, named: &[NodeId]) -> Vec<NodeId> {
+        let listed = |node: &NodeId| self.pools.get(node.0).is_some_and(|p| p.readiness != Readiness::Gone);
+        let all = (0..self.ids.count()).map(NodeId);
+        all.filter(|node| listed(node) && !named.contains(node)).collect()
+    }
+
+    /// How many nodes there is a place for.
+    pub fn kept(&self) -> u32 {
+        self.ids.count()
+    }
+
+    /// Lets go of the nodes that left the list before `span`, and tells which: all that met them has ended.
+    pub fn forget(&mut self, now: Nanos, span: Nanos) -> Vec<NodeId> {
+        let old = |p: &Pool| {
+            p.readiness == Readiness::Gone && p.connections.is_empty() && now.since(p.listed) > span
+        };
+        let forgotten: Vec<_> =
+            (0..self.ids.count()).filter(|at| self.pools.get(*at).is_some_and(old)).collect();
+        for at in &forgotten {
+            self.pools.clear(*at);
+            self.ids.release(*at);
+        }
+        forgotten.into_iter().map(NodeId).collect()
+    }
+
+    /// A node takes no new work: its connections take no further pulls.
+    pub fn withdraw(&mut self, node: NodeId, readiness: Readiness, now: Nanos, effects: &mut Vec<Effect>) {
+        if let Some(pool) = self.pools.get_mut(node.0) {
+            (pool.readiness, pool.listed) = (readiness, now);
+        }
+        self.retire(node, now, effects);
+    }
+}
--- /dev/null
+++ b/dispatcher/src/nodes/mod.rs
@@ -0,0 +1,109 @@
+//! Node connections: a few for each node, shared by its pulls.
+
+use crate::effects::{Due, Effect, Peer};
+use crate::logs::Sparse;
+use copperroute::ids::Ids;
+use copperroute::interface::{DlId, Nanos, NodeId, Outcome, Readiness};
+use copperroute::opening::{Opening, Openings};
+use copperroute::state::Slots;
+use copperroute_protocol::hex::Hex;
+use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
+use copperroute_settings::Connections;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Bytes of pulls handed to a connection at once; what waits longer can still be dropped unsent.
+const GATHERED: usize = 16 * 1024;
+/// An answer of which nothing more comes for so long holds up all that is out behind it.
+const STUCK: Nanos = Nanos(400_000_000);
+
+/// A connection that carried nothing for so long may be closed by its node just as the next pull is written,
+/// which may then have run.
+const RESTED: Nanos = Nanos(20_000_000);
+/// After that has happened, connections that rested are not used for so long.
+const DOUBT: Nanos = Nanos(10_000_000_000);
+
+mod connection;
+mod connections;
+mod list;
+mod pulls;
+
+pub use connection::PullRef;
+use connection::{Connection, Written};
+
+/// A node's place in the list, and its connections.
+#[derive(Debug)]
+pub struct Pool {
+    /// Where it listens.
+    pub address: Option<SocketAddr>,
+    /// Its start, by which a later one under its id is told apart.
+    pub started: Nanos,
+    /// Whether it takes work.
+    pub readiness: Readiness,
+    /// Its connections.
+    pub connections: Vec<u32>,
+    /// When it was last listed; once it has gone, since when.
+    pub listed: Nanos,
+    /// Whether it takes connections.
+    pub opening: Opening,
+}
+
+/// The nodes listed, those that left not long ago, and the connections to them.
+#[derive(Debug)]
+pub struct Nodes {
+    limits: Connections,
+    /// With more connections than this in all, nodes get no second one.
+    most: usize,
+    ids: Ids<String>,
+    pools: Slots<Pool>,
+    connections: HashMap<u32, Connection>,
+    last: u32,
+    /// Nothing is read from them for now.
+    held_back: bool,
+    /// Connections that rested are not to be trusted until then.
+    doubt: Nanos,
+    complaints: Sparse,
+    openings: Openings,
+    /// Nodes that turned connections away, and until when none is opened there; not handed on yet.
+    full: Vec<(NodeId, Nanos)>,
+}
+
+impl Nodes {
+    /// No nodes yet.
+    pub fn new(limits: Connections, most: usize, seed: u64) -> Self {
+        Nodes {
+            limits,
+            most,
+            ids: Ids::default(),
+            pools: Slots::default(),
+            connections: HashMap::new(),
+            last: 0,
+            held_back: false,
+            doubt: Nanos::ZERO,
+            complaints: Sparse::default(),
+            openings: Openings::new(seed),
+            full: Vec::new(),
+        }
+    }
+
+    /// Nodes that have turned connections away since this was asked, and until when none is opened there.
+    pub fn turned_away(&mut self) -> Vec<(NodeId, Nanos)> {
+        std::mem::take(&mut self.full)
+    }
+
+    /// Takes new limits.
+    pub fn limit(&mut self, limits: Connections, most: usize) {
+        (self.limits, self.most) = (limits, most);
+    }
+}
+
+/// What a node's bytes come to next.
+#[derive(Debug)]
+pub enum Next {
+    /// No whole answer yet.
+    Nothing,
+    /// An answer, and the pull that it ends.
+    Answer(Option<PullRef>, copperroute_protocol::nodes::Answer),
+    /// What can't be read.
+    Unreadable,
+}
--- /dev/null
+++ b/dispatcher/src/nodes/pulls.rs
@@ -0,0 +1,133 @@
+//! Pulls on their way to a connection, and off it.
+
+use super::*;
+
+impl Nodes {
+    /// Takes back the pulls, to any node, that are meant and not yet written.
+    pub fn take_back(&mut self, meant: impl Fn(&PullRef) -> bool) -> Vec<PullRef> {
+        let mut back: Vec<PullRef> = Vec::new();
+        for connection in self.connections.values_mut() {
+            back.extend(connection.waiting.iter().filter(|pull| meant(pull)));
+            connection.waiting.retain(|pull| !meant(pull));
+        }
+        back.sort_by_key(|pull| (pull.dl.0, pull.number));
+        back
+    }
+
+    /// Puts a pull of a download on a connection to a node, made if need be; nothing if there is none to be
+    /// had. Where it may run `once` only, none that rested is used; nor are those while nodes close them under
+    /// the next pull. Costs a connect.
+    pub fn take(
+        &mut self,
+        node: NodeId,
+        pull: PullRef,
+        id: Hex,
+        once: bool,
+        now: Nanos,
+        effects: &mut Vec<Effect>,
+    ) -> Option<u32> {
+        let spared = self.openings.are_spared(now);
+        if once || (now < self.doubt && !spared) {
+            let rested = |number: &u32| self.connections.get(number).is_some_and(|c| c.has_rested(now));
+            let pool = self.pools.get(node.0)?;
+            let mut rested: Vec<_> = pool.connections.iter().copied().filter(rested).collect();
+            // Where none may be opened in its place, one that rested is better than none.
+            if !self.openings.may_open(now, &pool.opening, pool.connections.len() - rested.len()) {
+                rested.clear();
+            }
+            for number in rested {
+                self.close(number, effects);
+            }
+        }
+        let pool = self.pools.get_mut(node.0)?;
+        let address = pool.address?;
+        let usable = |number: &&u32| self.connections.get(number).is_some_and(|c| !c.retired);
+        let fits = |number: &&u32| {
+            let connection = self.connections.get(number);
+            connection.is_some_and(|c| c.load() < self.limits.streams && !c.out.contains_key(&id))
+        };
+        let load = |number: &&u32| self.connections.get(number).map_or(0, Connection::load);
+        let best = pool.connections.iter().filter(usable).filter(fits).min_by_key(load).copied();
+        // What is on one connection ends with it: so one that carries nothing, else a further one.
+        let used = pool.connections.iter().filter(usable).count();
+        let room = (used == 0 || self.connections.len() < self.most)
+            && self.openings.may_open(now, &pool.opening, used);
+        let number = match best.filter(|number| !room || load(&number) == 0) {
+            Some(number) => number,
+            None if !room => return None,
+            None => {
+                self.last += 1;
+                pool.connections.push(self.last);
+                self.connections.insert(self.last, Connection::new(node, now));
+                let overdue = now.after(self.limits.connect_timeout);
+                effects.push(Effect::Connect(Peer::Node(self.last), address));
+                effects.push(Effect::Arm(overdue, Due::Connect(self.last)));
+                self.last
+            }
+        };
+        self.connections.get_mut(&number)?.waiting.push_back(pull);
+        Some(number)
+    }
+
+    /// Hands waiting pulls to a connection that has nothing unsent, as many as go at once. What a pull says
+    /// is asked for only then; one that is nobody's any more has nothing to say.
+    pub fn hand_over<'a>(
+        &mut self,
+        number: u32,
+        now: Nanos,
+        fetch: impl Fn(PullRef) -> Option<(Fetch<'a>, Nanos)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        if !connection.up || connection.queued > connection.written {
+            return;
+        }
+        let rested = connection.live == 0 && now.since(connection.used) > RESTED;
+        let mut bytes = Vec::new();
+        while bytes.len() < GATHERED {
+            let Some(pull) = connection.waiting.pop_front() else { break };
+            let Some((fetch, expires)) = fetch(pull) else { continue };
+            encode_fetch(&fetch, &mut bytes);
+            let end = connection.queued + bytes.len() as u64;
+            let written = Written { pull: Some(pull), at: now, end, expires };
+            connection.out.insert(fetch.id, written);
+            connection.live += 1;
+        }
+        if !bytes.is_empty() {
+            connection.queued += bytes.len() as u64;
+            (connection.used, connection.after_rest) = (now, rested);
+            effects.push(Effect::Write(Peer::Node(number), bytes));
+        }
+    }
+
+    /// Gives up a pull: unsent it is dropped, which is told, else the node hears of it. If it was `waited_for`
+    /// and the node has finished no answer since it was sent, what else goes there might wait as long.
+    pub fn give_up(
+        &mut self,
+        number: u32,
+        pull: PullRef,
+        id: Hex,
+        waited_for: bool,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(connection) = self.connections.get_mut(&number) else { return false };
+        if let Some(at) = connection.waiting.iter().position(|waiting| *waiting == pull) {
+            connection.waiting.remove(at);
+            self.close_if_spent(number, effects);
+            return true;
+        }
+        let Some(written) = connection.out.get_mut(&id) else { return false };
+        written.pull = None;
+        connection.live -= 1;
+        let (node, since) = (connection.node, written.at);
+        let mut bytes = Vec::new();
+        encode_abort(id, &mut bytes);
+        connection.queued += bytes.len() as u64;
+        effects.push(Effect::Write(Peer::Node(number), bytes));
+        if waited_for && connection.answered <= since {
+            self.retire(node, since, effects);
+        }
+        self.close_if_spent(number, effects);
+        false
+    }
+}
--- /dev/null
+++ b/dispatcher/src/reducer/changes.rs
@@ -0,0 +1,109 @@
+//! What the change log tells: the list of nodes, and purges.
+
+use super::*;
+
+impl Reducer {
+    pub(super) fn apply(&mut self, now: Nanos, change: &Change, lost: bool) {
+        let unix_ms = self.epoch.unix_ms(now);
+        let takes_list = match &mut self.agreed {
+            Some(agreed) => {
+                agreed.event(now, unix_ms, change, lost);
+                agreed.takes_list(now, change)
+            }
+            None => true,
+        };
+        if takes_list || change.fleet.is_none() {
+            self.last_list.iter_mut().for_each(|list| list.applied(change, unix_ms));
+        }
+        if let Some(fleet) = change.fleet.as_ref().filter(|_| takes_list) {
+            self.list(now, fleet);
+        }
+        if let Some(Purge { object, bucket, time }) = &change.invalidate {
+            let age = now.since(self.epoch.time(*time));
+            match (object, bucket) {
+                (Some(object), _) => {
+                    self.module.object_purged(now, stable_hash(object.as_bytes()), age, &mut self.desk)
+                }
+                (None, Some(group)) => self.module.group_purged(now, *group, age, &mut self.desk),
+                (None, None) => return log::warn!("change log: a purge of nothing"),
+            }
+            if let Some(copies) = &mut self.copies {
+                copies.purge(object.as_deref(), *bucket, *time, self.epoch.unix_ms(now));
+                if copies.has_disk() && change.seq > self.marked {
+                    self.desk.effects.extend(marks(object.as_deref(), *bucket, *time, change.seq));
+                }
+            }
+            self.desk.purged(object.as_deref(), *bucket);
+            self.hand_on_ends(now);
+        }
+    }
+
+    /// A whole list stands for events that are no longer told, and tells nothing of the purges among them: all that is
+    /// older than what was last heard counts as purged (rule 5).
+    pub(super) fn purges_lost(&mut self, now: Nanos, seq: u64) {
+        let age = now.since(self.log.told_all()).after(LATEST_LINE);
+        log::warn!(
+            "change log: whole list at event {seq}: copies older than {:.1} s count as purged",
+            age.secs()
+        );
+        self.module.purges_lost(now, age);
+        self.copies.iter_mut().for_each(Copies::purges_lost);
+        self.desk.purges_lost();
+        self.hand_on_ends(now);
+    }
+
+    pub(super) fn list(&mut self, now: Nanos, fleet: &Fleet) {
+        let entries: Vec<_> = fleet.servers.iter().map(|listed| self.entry(listed)).collect();
+        let named: Vec<_> = entries.iter().map(|entry| entry.node).collect();
+        let mut withdrawn: Vec<_> = entries
+            .iter()
+            .filter(|entry| entry.readiness != Readiness::Ready)
+            .map(|entry| (entry.node, entry.readiness))
+            .collect();
+        if fleet.full {
+            withdrawn.extend(self.desk.unlisted(&named).into_iter().map(|node| (node, Readiness::Gone)));
+            self.module.nodes_listed(now, &entries, &mut self.desk);
+        } else {
+            self.module.nodes_changed(now, &entries, &mut self.desk);
+        }
+        // The module knows first, so that what is dropped here goes elsewhere.
+        for (node, readiness) in withdrawn {
+            self.desk.withdraw(node, readiness);
+        }
+        self.hand_on_ends(now);
+        self.life.move_to(Phase::Serving);
+    }
+
+    pub(super) fn entry(&mut self, listed: &Listed) -> NodeEntry {
+        let place = |names: &[String], name: &str| place(names, name).unwrap_or(u32::MAX);
+        let readiness = listed.state.into();
+        let started_ms = listed.started_ms.filter(|ms| *ms > 0);
+        let started = started_ms.map_or(Nanos::ZERO, |ms| self.epoch.time(ms));
+        let pool = Pool {
+            address: listed.addr,
+            started,
+            readiness,
+            connections: Vec::new(),
+            listed: self.desk.now,
+            opening: Opening::default(),
+        };
+        NodeEntry {
+            node: self.desk.list(&listed.id, pool),
+            hash: stable_hash(listed.id.as_bytes()),
+            zone: ZoneId(place(&self.config.names.zones, &listed.zone)),
+            kind: place(&self.config.names.kinds, &listed.kind),
+            cell: listed.cell.unwrap_or(0),
+            readiness,
+            weight: listed.weight.unwrap_or(1.0),
+            started,
+        }
+    }
+}
+
+/// The marks of a purge for the disk.
+fn marks(object: Option<&str>, group: Option<u64>, at_ms: u64, seq: u64) -> Option<Effect> {
+    match object {
+        Some(object) => Hex::read(object).map(|object| Effect::MarkObject(object.bytes(), at_ms, seq)),
+        None => group.and_then(|of| u8::try_from(of).ok()).map(|of| Effect::MarkGroup(of, at_ms, seq)),
+    }
+}
--- /dev/null
+++ b/dispatcher/src/reducer/clients.rs
@@ -0,0 +1,188 @@
+//! What clients send, and downloads until the decisions are told of them.
+
+use super::*;
+
+impl Reducer {
+    pub(super) fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
+        let Some(client) = self.desk.clients.get_mut(number) else { return };
+        client.decoder.feed(bytes);
+        while let Some(client) = self.desk.clients.get_mut(number) {
+            let message = match client.decoder.next_message() {
+                Ok(Some(message)) => message,
+                Ok(None) => return client.pauses(now),
+                Err(fault) => {
+                    self.complaints.warn(now, format_args!("client {number}: {fault}"));
+                    log::debug!(target: "copperroute::trace", "client {number} unreadable");
+                    return self.client_closed(now, number);
+                }
+            };
+            client.spoke(now);
+            let (Message::Request(tag, _)
+            | Message::Unusable(tag, _)
+            | Message::Abort(tag)
+            | Message::Health(tag)) = message;
+            let (open, taken) = (client.open.get(&tag).copied(), client.open.len());
+            match message {
+                Message::Abort(_) => open.into_iter().for_each(|dl| self.forsake(now, dl)),
+                // Two answers under one tag could not be told apart.
+                _ if open.is_some() => {
+                    self.complaints.warn(now, format_args!("client {number}: tag {tag} is open already"));
+                    return self.client_closed(now, number);
+                }
+                Message::Request(..) if taken >= MOST_OPEN => {
+                    self.desk.write(number, tag, Answer::Throttled(None));
+                }
+                Message::Request(_, request) => self.download(now, number, tag, *request),
+                Message::Unusable(_, why) => {
+                    self.complaints.warn(now, format_args!("client {number}: {why}"));
+                    self.desk.write(number, tag, Answer::Abandoned);
+                }
+                Message::Health(_) => {
+                    let up = self.life.phase() == Phase::Serving;
+                    self.desk.write(number, tag, if up { Answer::Up } else { Answer::Down });
+                }
+            }
+            // What the module has ended at once must be heard before the next download is decided.
+            self.hand_on_ends(now);
+        }
+    }
+
+    /// The content type of a request that the settings allow, or why they don't.
+    pub(super) fn usable(&self, request: &Request) -> Result<u32, String> {
+        let name = &request.content_type;
+        let content_type = place(&self.config.names.content_types, name)
+            .ok_or_else(|| format!("no content type '{}'", name.escape_default()))?;
+        let offer = self.config.offers[content_type as usize];
+        match request {
+            _ if request.timeout_ms > offer.expiry.0.div_ceil(1_000_000) => {
+                Err(format!("timeout: {} ms are more than the expiry of '{name}'", request.timeout_ms))
+            }
+            _ if !request.body.is_empty() && !offer.writes => Err(format!("'{name}' takes no bytes")),
+            // Answers of two downloads with one id could not be told apart.
+            _ if self.desk.has(request.id) => Err(format!("req: {} is open already", request.id)),
+            _ => Ok(content_type),
+        }
+    }
+
+    pub(super) fn download(&mut self, now: Nanos, client: u32, tag: u64, mut request: Request) {
+        let id = stable_hash(request.id.as_str().as_bytes());
+        let content_type = match (self.conduct.judge(now, id), self.usable(&request)) {
+            (Verdict::Take, Ok(content_type)) => content_type,
+            (Verdict::Take, Err(why)) => {
+                self.complaints.warn(now, format_args!("client {client}: {why}"));
+                return self.desk.write(client, tag, Answer::Abandoned);
+            }
+            (Verdict::Again, _) => {
+                self.complaints.warn(now, format_args!("client {client}: req: {} came before", request.id));
+                return self.desk.write(client, tag, Answer::Abandoned);
+            }
+        };
+        // Under a rule that came later a client waits no longer, whatever it asked for.
+        let most_ms = self.expiries[content_type as usize].0.div_ceil(1_000_000);
+        request.timeout_ms = request.timeout_ms.min(most_ms);
+        let of_copies = !self.config.offers[content_type as usize].writes;
+        let once = self.settings.content_types[content_type as usize].repeat != Repeat::Retriable;
+        let object_hash = stable_hash(request.object.as_str().as_bytes());
+        let (part, group) = (request.part, request.group);
+        let (repeat, size_kb) = (request.repeat, request.size_kb);
+        let body_hash = if request.body.is_empty() { 0 } else { stable_hash(&request.body) };
+        let from = self.desk.clients.from(client);
+        let (dl, object, expires) = self.desk.open(client, tag, request, of_copies, once);
+        let download = Download {
+            dl,
+            content_type: TypeId(content_type),
+            object,
+            copy_hash: mix(object_hash.wrapping_add(part)),
+            object_hash,
+            group,
+            expires,
+            repeat,
+            size_kb,
+            client: from,
+            body_hash,
+        };
+        if let Some(own) = self.own_copy(now, &download, dl) {
+            return self.serve(now, &download, own);
+        }
+        if let Some(key) = self.asks_disk(&download) {
+            let serial = self.desk.serial_of(dl);
+            self.reading.insert(dl.0, Reading { serial, download, key });
+            self.desk.effects.push(Effect::ReadCopy(key, ticket(dl, serial)));
+            return self.desk.effects.push(Effect::Arm(now.after(DISK_PATIENCE), Due::Disk(dl, serial)));
+        }
+        self.desk.tell(&download);
+        self.module.download(now, &download, &mut self.desk);
+    }
+
+    /// Answers a download from an own copy.
+    pub(super) fn serve(&mut self, now: Nanos, download: &Download, own: Own) {
+        self.module.served_here(now, download, &mut self.desk);
+        match own {
+            Own::Bytes(body) => self.desk.answer(download.dl, Answer::Fulfilled(&body)),
+            Own::Current => self.desk.answer(download.dl, Answer::Current),
+        }
+        self.desk.release(download.dl);
+    }
+
+    /// The key of a copy that the disk is to be asked for.
+    pub(super) fn asks_disk(&self, download: &Download) -> Option<Key> {
+        let copies = self.copies.as_ref()?;
+        let (object, part, _) = self.desk.asked_for(download.dl)?;
+        copies::key(download.content_type.0, object, part).filter(|key| copies.asks_disk(key))
+    }
+
+    /// The disk has answered: the download is served, or goes on as if there were no disk.
+    pub(super) fn copy_read(&mut self, now: Nanos, at: u64, copy: Option<(Facts, &[u8])>) {
+        let dl = DlId((at >> 32) as u32);
+        let asked = self.reading.get(&dl.0).filter(|reading| ticket(dl, reading.serial) == at);
+        let (Some(Reading { download, key, .. }), Some(copies)) = (asked, &mut self.copies) else { return };
+        let target = self.settings.content_types[download.content_type.0 as usize].target_time;
+        let held = self.desk.asked_for(dl).and_then(|asked| asked.2);
+        let own = copies.read([now, target], self.epoch.unix_ms(now), key, held, copy);
+        let Some(own) = own else { return self.go_on(now, dl) };
+        let (download, key) = (*download, *key);
+        self.reading.remove(&dl.0);
+        if let (Some((facts, body)), Some((rate, hops))) = (copy, self.module.known(&download)) {
+            let offered = Offered { key, facts, body: body.into() };
+            if let Some(copies) = &mut self.copies {
+                copies.offer(offered, rate, hops);
+            }
+        }
+        self.serve(now, &download, own);
+    }
+
+    /// A download goes on without the disk.
+    pub(super) fn go_on(&mut self, now: Nanos, dl: DlId) {
+        let Some(Reading { download, .. }) = self.reading.remove(&dl.0) else { return };
+        self.desk.tell(&download);
+        self.module.download(now, &download, &mut self.desk);
+    }
+
+    /// What a download is served from here with, if anything.
+    pub(super) fn own_copy(&mut self, now: Nanos, download: &Download, dl: DlId) -> Option<Own> {
+        let copies = self.copies.as_mut()?;
+        let (object, part, held) = self.desk.asked_for(dl)?;
+        let key = copies::key(download.content_type.0, object, part)?;
+        let target = self.settings.content_types[download.content_type.0 as usize].target_time;
+        copies.serve(now, self.epoch.unix_ms(now), &key, held, target)
+    }
+
+    pub(super) fn forsake(&mut self, now: Nanos, dl: DlId) {
+        if self.desk.forsake(dl) {
+            if self.reading.remove(&dl.0).is_some() {
+                return self.desk.release(dl);
+            }
+            self.module.client_gone(now, dl, &mut self.desk);
+            self.hand_on_ends(now);
+        }
+    }
+
+    pub(super) fn client_closed(&mut self, now: Nanos, number: u32) {
+        self.desk.remove_client(number).into_iter().for_each(|dl| self.forsake(now, dl));
+    }
+}
+
+/// What the disk is asked under: the download's slot, and enough of its serial to tell it from the next one there.
+fn ticket(dl: DlId, serial: u64) -> u64 {
+    u64::from(dl.0) << 32 | serial & 0xffff_ffff
+}
--- /dev/null
+++ b/dispatcher/src/reducer/mod.rs
@@ -0,0 +1,359 @@
+//! The reducer: every state change happens here, in answer to an event. What is to be read, written,
+//! connected or timed comes out as effects, which the event loop carries out.
+
+use crate::agreed::Agreed;
+use crate::changes::{ChangeLog, Told};
+use crate::clients::MOST_OPEN;
+use crate::clock::Epoch;
+use crate::config::{Agreeing, Config};
+use crate::copies::{self, Copies, Offered, Own};
+use crate::desk::Desk;
+use crate::effects::{Due, Effect, Event, Peer};
+use crate::last_list::LastList;
+use crate::logs::Sparse;
+use crate::nodes::Pool;
+use crate::phases::{Life, Phase};
+use copperroute::calls::Calls;
+use copperroute::conduct::{Conduct, MOST_IDS, Verdict};
+use copperroute::interface::{
+    DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, Settings, TypeId, ZoneId, mix,
+    stable_hash,
+};
+use copperroute::opening::Opening;
+use copperroute::policy::Dispatcher;
+use copperroute_agreement::rules::RuleSet;
+use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
+use copperroute_protocol::clients::{Answer, Message, Request};
+use copperroute_protocol::hex::Hex;
+use copperroute_settings::place;
+use copperroute_store::record::{Facts, Key};
+use std::collections::HashMap;
+
+mod changes;
+mod clients;
+mod reload;
+
+/// After the signal to end nothing new comes any more once this is over.
+const LAST_REQUESTS: Nanos = Nanos(750_000_000);
+/// After the signal to end all must be answered so long after the longest expiry, or after `LONGEST_DRAIN` where
+/// that is shorter: what came last has come 0.6 s after it, and 0.7 s after it nothing is waited for.
+const DRAINED_AFTER: Nanos = Nanos(500_000_000);
+const LONGEST_DRAIN: Nanos = Nanos(3_000_000_000);
+/// A line may have taken so long on its way.
+const LATEST_LINE: Nanos = Nanos(1_000_000_000);
+/// Idle clients that are closed at once when descriptors run short.
+const IDLE_AT_ONCE: usize = 8;
+const SWEEP: Nanos = Nanos(250_000_000);
+
+/// The disk has so long to read a copy; then the download goes on without.
+const DISK_PATIENCE: Nanos = Nanos(50_000_000);
+
+/// A download for which the disk was asked.
+#[derive(Debug)]
+struct Reading {
+    serial: u64,
+    download: Download,
+    key: Key,
+}
+
+/// The dispatcher's whole state.
+pub struct Reducer {
+    life: Life,
+    module: Dispatcher,
+    desk: Desk,
+    log: ChangeLog,
+    epoch: Epoch,
+    /// Nothing new can come any more.
+    last_requests: bool,
+    /// All that was owed has been answered, whoever takes it or not.
+    drained: bool,
+    /// Own copies, where any are kept.
+    copies: Option<Copies>,
+    /// Downloads for which the disk was asked; the module is not told of them yet.
+    reading: HashMap<u32, Reading>,
+    /// The last event of the change log whose purge the disk has marked.
+    marked: u64,
+    /// What is kept of the change log over a restart, where it is.
+    last_list: Option<LastList>,
+    /// What is held of the agreement on rules, where there is one.
+    agreed: Option<Agreed>,
+    /// The settings under the rules in force.
+    settings: Settings,
+    /// The longest that a client waits for each content type, under the rules in force.
+    expiries: Vec<Nanos>,
+    /// Lines that clients cause.
+    complaints: Sparse,
+    /// What clients have shown of themselves.
+    conduct: Conduct,
+    /// What the program was started with, and what has been taken of it since.
+    config: Config,
+}
+
+impl Reducer {
+    /// A dispatcher that has not started.
+    pub fn new(config: Config, epoch: Epoch) -> Self {
+        let calls = Calls::new(config.calls, config.settings.seed.rotate_left(32), epoch.unix_zero());
+        let (bytes, s) = (config.copies_bytes, &config.settings);
+        let copies = || Copies::new(bytes, config.own_link, &s.content_types, s.purge_done);
+        let copies = (bytes > 0).then(copies);
+        let mut desk = Desk::new(config.connections, config.limits, config.settings.seed.rotate_left(16));
+        desk.keeps_copies = copies.is_some();
+        let purges = s.purge_done.after(s.purge_notice);
+        let last_list = config.last_list.as_ref().map(|_| LastList::new(config.print(), purges));
+        let agreed = config.agreeing.as_ref().map(|agreeing| Agreed::new(agreeing, &config));
+        let mut log = ChangeLog::new(config.changelog, config.known.seq, calls);
+        if agreed.is_some() {
+            log.look_for_anew();
+        }
+        Reducer {
+            agreed,
+            settings: config.settings.clone(),
+            expiries: config.offers.iter().map(|offer| offer.expiry).collect(),
+            copies,
+            last_list,
+            reading: HashMap::new(),
+            marked: 0,
+            life: Life::default(),
+            module: Dispatcher::new(config.settings.clone()),
+            desk,
+            log,
+            epoch,
+            last_requests: false,
+            drained: false,
+            complaints: Sparse::default(),
+            conduct: Conduct::new(longest_expiry(&config), MOST_IDS),
+            config,
+        }
+    }
+
+    /// The number of the last event of the change log that was applied.
+    pub fn applied(&self) -> u64 {
+        self.log.applied()
+    }
+
+    /// How many nodes there is a place for: those listed, and those that left not long ago.
+    pub fn nodes_kept(&self) -> u32 {
+        self.desk.nodes_kept()
+    }
+
+    /// How many objects there is a place for.
+    pub fn objects_kept(&self) -> u32 {
+        self.desk.objects_kept()
+    }
+
+    /// What is out at each node: as the decisions believe, and as it is.
+    pub fn out(&self) -> Vec<(u32, u32)> {
+        let nodes = (0..self.nodes_kept()).map(NodeId);
+        nodes.map(|node| (self.module.out_at(node), self.desk.out_at(node))).collect()
+    }
+
+    /// Changes the state as the event asks, and returns what is to be done.
+    pub fn reduce(&mut self, now: Nanos, event: Event<'_>) -> Vec<Effect> {
+        self.desk.now = now;
+        self.obey(now);
+        match event {
+            Event::Started => self.start(now),
+            Event::Accepted(number, from) => {
+                log::debug!(target: "copperroute::trace", "client {number} from {from}");
+                self.desk.clients.accept(number, from, now);
+                if self.desk.clients.count() > self.most_clients() {
+                    self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), now, &mut self.desk.effects);
+                }
+                // Nodes must stay within reach, whatever clients do.
+                if self.desk.clients.count() > self.most_clients() * 3 / 2 {
+                    self.complaints.warn(now, format_args!("client: one too many, closed"));
+                    self.client_closed(now, number);
+                }
+            }
+            Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
+            Event::Connected(Peer::ChangeLog(number)) => {
+                self.agreed.iter_mut().for_each(|agreed| agreed.asked(now));
+                self.log.connected(number, &mut self.desk.effects);
+            }
+            Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
+            Event::Received(Peer::Node(number), bytes) => self.desk.node_received(number, bytes),
+            Event::Received(Peer::ChangeLog(number), bytes) => {
+                self.log.received(number, bytes);
+                while let Some(told) = self.log.next_told(now, &mut self.desk.effects) {
+                    match told {
+                        Told::Change { change, lost } => {
+                            if lost {
+                                self.purges_lost(now, change.seq);
+                            }
+                            self.apply(now, &change, lost);
+                        }
+                        Told::Line { caught_up } => {
+                            self.agreed.iter_mut().for_each(|agreed| agreed.line(now, caught_up));
+                        }
+                    }
+                    self.obey(now);
+                }
+                if self.log.has_begun_anew() {
+                    self.agreed.iter_mut().for_each(Agreed::begun_anew);
+                }
+                if self.log.is_caught_up() {
+                    self.copies.iter_mut().for_each(Copies::caught_up);
+                    self.last_list.iter_mut().for_each(LastList::heard);
+                }
+            }
+            Event::Written(Peer::Client(number), total) => self.desk.client_written(number, total),
+            Event::Written(Peer::Node(number), total) => self.desk.node_written(number, total),
+            Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
+            Event::Closed(Peer::Node(number)) => self.desk.node_closed(number),
+            Event::Closed(Peer::ChangeLog(number)) => self.log.closed(number, now, &mut self.desk.effects),
+            Event::Due(due) => self.due(now, due),
+            Event::Terminate => {
+                if self.life.move_to(Phase::Draining) {
+                    let drained = self.longest_expiry().min(LONGEST_DRAIN).after(DRAINED_AFTER);
+                    let armed = [(LAST_REQUESTS, Due::LastRequests), (drained, Due::Drained)];
+                    self.desk.effects.extend(armed.map(|(span, due)| Effect::Arm(now.after(span), due)));
+                }
+            }
+            Event::Reload(config) => self.reload(now, config),
+            Event::DiskReady(prints, marked) => {
+                self.marked = marked;
+                self.copies.iter_mut().for_each(|copies| copies.disk_ready(prints));
+            }
+            Event::CopyRead(ticket, copy) => self.copy_read(now, ticket, copy),
+            Event::DiskOff => {
+                self.copies.iter_mut().for_each(Copies::disk_off);
+                let mut waiting: Vec<_> = self.reading.keys().copied().collect();
+                waiting.sort();
+                waiting.into_iter().for_each(|dl| self.go_on(now, DlId(dl)));
+            }
+            Event::NoDescriptors => {
+                self.desk.clients.close_idle(IDLE_AT_ONCE, None, now, &mut self.desk.effects);
+            }
+            Event::Connected(Peer::Client(_)) | Event::Written(Peer::ChangeLog(_), _) => {}
+        }
+        self.hand_on_ends(now);
+        let over = self.drained || (self.last_requests && self.desk.is_clear());
+        if self.life.phase() == Phase::Draining && over {
+            self.life.move_to(Phase::Stopped);
+            self.desk.effects.push(Effect::Exit);
+        }
+        std::mem::take(&mut self.desk.effects)
+    }
+
+    /// Pulls that have ended reach the module one by one, with what it does of it.
+    fn hand_on_ends(&mut self, now: Nanos) {
+        for (node, until) in self.desk.turned_away() {
+            self.module.node_turns_away(node, until);
+        }
+        while let Some((pull, end)) = self.desk.ended.pop_front() {
+            self.module.pull_ended(now, pull.dl, pull.number, &end, &mut self.desk);
+        }
+        for (download, offered) in std::mem::take(&mut self.desk.offered) {
+            let known = self.module.known(&download);
+            if let (Some(copies), Some((rate, hops))) = (&mut self.copies, known) {
+                if let Some(rank) = copies.to_disk(&offered, rate, hops) {
+                    let (key, facts, body) = (offered.key, offered.facts, offered.body.clone());
+                    self.desk.effects.push(Effect::KeepCopy(key, facts, rank, body));
+                }
+                copies.offer(offered, rate, hops);
+            }
+        }
+    }
+
+    /// Before each decision: the rules that are in force by now. Leases run out, and moments come, between events.
+    fn obey(&mut self, now: Nanos) {
+        let Some(agreed) = &mut self.agreed else { return };
+        if let Some((settings, expiries)) = agreed.look(now, self.epoch.unix_ms(now)) {
+            self.module.settings_changed(&settings);
+            (self.settings, self.expiries) = (settings, expiries);
+        }
+    }
+
+    fn start(&mut self, now: Nanos) {
+        self.module.start(now, &mut self.desk);
+        for change in std::mem::take(&mut self.config.known.results) {
+            self.apply(now, &change, false);
+        }
+        if let (Some(agreed), Some(agreeing)) = (&mut self.agreed, &self.config.agreeing) {
+            agreed.issued(now, self.epoch.unix_ms(now), &agreeing.issued);
+        }
+        self.obey(now);
+        let has_list = self.life.phase() == Phase::Serving;
+        self.log.start(has_list, now, &mut self.desk.effects);
+        self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
+    }
+
+    fn due(&mut self, now: Nanos, due: Due) {
+        match due {
+            Due::Module(token) => self.module.timer(now, token, &mut self.desk),
+            Due::Expiry(dl, serial) => self.expire(now, dl, serial),
+            Due::Disk(dl, serial) => {
+                if self.reading.get(&dl.0).is_some_and(|reading| reading.serial == serial) {
+                    self.go_on(now, dl);
+                }
+            }
+            Due::Connect(number) => self.desk.connect_overdue(number),
+            Due::ChangeLog => self.log.connect(now, &mut self.desk.effects),
+            Due::Sweep => {
+                self.desk.sweep();
+                // No download in hand is older than the longest expiry.
+                for node in self.desk.forget_nodes(self.longest_expiry().after(SWEEP)) {
+                    self.module.node_forgotten(node);
+                }
+                // Nobody waits that long for an answer: such a client has vanished.
+                for number in self.desk.clients.stuck(now, self.client_patience()) {
+                    self.complaints.warn(now, format_args!("client: takes nothing, closed"));
+                    self.client_closed(now, number);
+                }
+                for number in self.desk.clients.overdue(now) {
+                    self.client_closed(now, number);
+                }
+                self.log.watch(now, &mut self.desk.effects);
+                let unix_ms = self.epoch.unix_ms(now);
+                let list = self.last_list.as_mut().and_then(|list| list.due(now, unix_ms));
+                self.desk.effects.extend(list.map(Effect::KeepList));
+                self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
+            }
+            Due::LastRequests => self.last_requests = true,
+            Due::Drained => {
+                for (dl, serial) in self.desk.all_owed() {
+                    self.expire(now, dl, serial);
+                }
+                self.drained = true;
+            }
+        }
+    }
+
+    /// The longest that any client waits.
+    fn longest_expiry(&self) -> Nanos {
+        longest_expiry(&self.config)
+    }
+
+    /// With more clients than this, idle ones are closed.
+    fn most_clients(&self) -> usize {
+        self.config.limits.sockets as usize / 2
+    }
+
+    /// A client that takes nothing for so long is gone.
+    fn client_patience(&self) -> Nanos {
+        let idle = self.config.connections.idle;
+        if idle > Nanos::ZERO { idle } else { Nanos(u64::MAX) }
+    }
+
+    /// The client's time is up: the module hears that its pulls ended unanswered, and answers.
+    fn expire(&mut self, now: Nanos, dl: DlId, serial: u64) {
+        if !self.desk.is_owed(dl, serial) {
+            return;
+        }
+        if self.reading.remove(&dl.0).is_some() {
+            self.desk.answer(dl, Answer::Abandoned);
+            return self.desk.release(dl);
+        }
+        self.desk.expire(dl);
+        self.hand_on_ends(now);
+        if self.desk.is_owed(dl, serial) {
+            self.desk.answer(dl, Answer::Abandoned);
+            self.module.client_gone(now, dl, &mut self.desk);
+        }
+    }
+}
+
+/// The longest that any client waits.
+fn longest_expiry(config: &Config) -> Nanos {
+    config.offers.iter().map(|offer| offer.expiry).max().unwrap_or_default()
+}
--- /dev/null
+++ b/dispatcher/src/reducer/reload.rs
@@ -0,0 +1,50 @@
+//! The configuration, read again.
+
+use super::*;
+
+impl Reducer {
+    /// Takes what can change while downloads are open: where the change log is, and what the machine and the
+    /// nodes' connections bear, and rules: at once where there are no versions of them, else those versions that the
+    /// file brings. What else the decisions were built on stays until a restart, which is said. Events that the file
+    /// knows are not applied: the change log tells all from the last that was.
+    pub(super) fn reload(&mut self, now: Nanos, new: &Config) {
+        let old = &mut self.config;
+        let rules = RuleSet::of(&new.settings, &self.expiries);
+        let only_rules = rules.apply(&old.settings, &self.expiries).0 == new.settings;
+        let (versions, differ) = (self.agreed.is_some(), new.settings != old.settings);
+        let ground = |agreeing: &Agreeing| (agreeing.ground.clone(), agreeing.floor.clone());
+        let kept = [
+            ("name", new.name != old.name),
+            ("listen", new.listen != old.listen),
+            ("seed or settings other than rules", !only_rules),
+            ("rules outside of versions", only_rules && versions && differ),
+            (
+                "how rules are agreed on",
+                old.agreeing.as_ref().map(ground) != new.agreeing.as_ref().map(ground),
+            ),
+            ("where the last list is kept", new.last_list != old.last_list),
+            (
+                "what own copies may take",
+                (new.copies_bytes, &new.disk_tier) != (old.copies_bytes, &old.disk_tier),
+            ),
+            ("names in the settings", new.names != old.names || new.offers != old.offers),
+        ];
+        for (what, _) in kept.iter().filter(|(_, differs)| *differs) {
+            log::warn!("configuration: {what} can't change before a restart");
+        }
+        if only_rules && differ && !versions {
+            log::warn!("rules: others than before, without a version: others may act on the old ones");
+            self.module.settings_changed(&new.settings);
+            (self.settings, old.settings) = (new.settings.clone(), new.settings.clone());
+        }
+        if let (Some(agreed), Some(agreeing)) = (&mut self.agreed, &new.agreeing) {
+            agreed.issued(now, self.epoch.unix_ms(now), &agreeing.issued);
+        }
+        (old.limits, old.connections, old.changelog) = (new.limits, new.connections, new.changelog);
+        self.desk.limit(new.connections, new.limits);
+        old.calls = new.calls;
+        self.log.told(new.calls);
+        self.log.move_to(new.changelog, now, &mut self.desk.effects);
+        log::info!("configuration: read again");
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/dispatcher/clients.rs
@@ -0,0 +1,252 @@
+//! Events in, effects out: clients, without sockets.
+
+use crate::common::{CONFIG, LOOPBACK, Play, message, request};
+use copperroute_dispatcher::effects::{Event, Peer};
+use expect_test::expect;
+
+#[test]
+fn a_client_that_leaves_is_owed_nothing() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.client(&request(8, "image", "9b20", ",need=100"));
+    play.client(&message("ABORT", 7));
+    play.node("9b1f ok why=local 4");
+    play.event(Event::Closed(Peer::Client(1)));
+    play.node("9b20 ok why=local 4");
+    play.event(Event::Accepted(1, LOOPBACK));
+    play.client(&request(9, "image", "9b21", ",need=100"));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        connect Node(2) 127.0.0.1:6001
+        Node(2) <- fetch 9b20 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(1) <- abort 9b1f
+        close Client(1)
+        Node(2) <- abort 9b20
+        Node(1) <- fetch 9b21 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn an_id_that_comes_again_reaches_no_node_until_it_is_forgotten() {
+    let mut play = Play::new();
+    play.event(Event::Accepted(2, LOOPBACK));
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.client(&message("ABORT", 7));
+    // Again on the same connection, and on another.
+    play.client(&request(8, "image", "9b1f", ",need=100"));
+    play.event(Event::Received(Peer::Client(2), &request(1, "image", "9b1f", ",need=100")));
+    play.pass(5_000);
+    play.trace.push_str("forgotten\n");
+    play.event(Event::Accepted(3, LOOPBACK));
+    play.event(Event::Received(Peer::Client(3), &request(1, "image", "9b1f", ",need=100")));
+    expect![[r#"
+        connect Node(1) 127.0.0.1:6001
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500 0
+        Node(1) <- abort 9b1f
+        Client(1) <- *4 $1 8 $6 FAILED $0  $0
+        Client(2) <- *4 $1 1 $6 FAILED $0  $0
+        close ChangeLog(1)
+        connect ChangeLog(2) 127.0.0.1:2379
+        ChangeLog(2) <- since 1\n
+        close ChangeLog(2)
+        connect ChangeLog(3) 127.0.0.1:2379
+        ChangeLog(3) <- since 1\n
+        forgotten
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn without_descriptors_idle_clients_go_and_busy_ones_stay() {
+    let mut play = Play::new();
+    play.event(Event::Accepted(2, LOOPBACK));
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.take();
+    play.event(Event::NoDescriptors);
+    expect![[r#"
+        close Client(2)
+    "#]]
+    .assert_eq(&play.take());
+}
+
+/// Answers of the greatest size to downloads with these ids.
+fn large(play: &mut Play, ids: &[&str]) -> String {
+    let body = "x".repeat(240_000);
+    for id in ids {
+        play.node_bytes(&format!("{id} ok - {}", body.len()), &format!("{body}\r\n"));
+    }
+    play.take().replace(&body, "(240000 bytes)")
+}
+
+#[test]
+fn who_does_not_read_is_not_read_from() {
+    let mut play = Play::new();
+    for tag in 7..10 {
+        play.client(&request(tag, "image", &format!("9b{tag:02}"), ",need=100"));
+    }
+    play.calm = false;
+    play.take();
+    let mut trace = large(&mut play, &["9b07", "9b08", "9b09"]);
+    play.event(Event::Written(Peer::Client(1), 400_000));
+    play.event(Event::Written(Peer::Client(1), 700_000));
+    trace += &play.take();
+    expect![[r#"
+        Client(1) <- *4 $1 7 $2 OK $0  $240000 (240000 bytes)
+        Client(1) <- *4 $1 8 $2 OK $0  $240000 (240000 bytes)
+        Client(1) <- *4 $1 9 $2 OK $0  $240000 (240000 bytes)
+        read Client(1) false
+        read Client(1) true
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn clients_that_do_not_read_take_no_memory_from_those_that_do() {
+    let mut play = Play::of(&CONFIG.replace("\"memory_mb\": 192", "\"memory_mb\": 4"));
+    play.event(Event::Accepted(2, LOOPBACK));
+    for (client, tag) in [(1, 7), (1, 8), (1, 9), (1, 10), (2, 11), (2, 12)] {
+        let bytes = request(tag, "image", &format!("9b{tag:02}"), ",need=100");
+        play.event(Event::Received(Peer::Client(client), &bytes));
+    }
+    play.calm = false;
+    play.take();
+    expect![[r#"
+        Client(1) <- *4 $1 7 $2 OK $0  $240000 (240000 bytes)
+        Client(1) <- *4 $1 8 $2 OK $0  $240000 (240000 bytes)
+        Client(1) <- *4 $1 9 $2 OK $0  $240000 (240000 bytes)
+        read Client(1) false
+        Client(1) <- *4 $2 10 $6 FAILED $0  $0
+        Client(2) <- *4 $2 11 $2 OK $0  $240000 (240000 bytes)
+        Client(2) <- *4 $2 12 $2 OK $0  $240000 (240000 bytes)
+        read Node(1) false
+        read Node(2) false
+        read Node(3) false
+        read Node(4) false
+    "#]]
+    .assert_eq(&large(&mut play, &["9b07", "9b08", "9b09", "9b10", "9b11", "9b12"]));
+}
+
+#[test]
+fn a_client_that_has_vanished_is_closed() {
+    let mut play = Play::new();
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.calm = false;
+    play.node("9b1f ok why=local 4");
+    play.take();
+    play.pass(20_000);
+    play.event(Event::Written(Peer::Client(1), 10));
+    play.pass(30_000);
+    assert!(!play.take().contains("Client"));
+    play.pass(2_000);
+    expect!["close Client(1)"]
+        .assert_eq(&play.take().lines().filter(|line| line.contains("Client")).collect::<String>());
+}
+
+#[test]
+fn a_request_that_the_settings_do_not_allow_reaches_no_node() {
+    let mut play = Play::new();
+    play.client(&request(1, "image", "9b1f", ",timeout=5001"));
+    play.client(&request(2, "image", "9b1f", ",family=256"));
+    play.client(
+        &String::from_utf8(request(3, "image", "9b1f", ""))
+            .expect("text")
+            .replace("$0\r\n", "$1\r\nx")
+            .into_bytes(),
+    );
+    // What it sent before does not keep a client's downloads from being taken.
+    play.client(&request(4, "post", "9b20", ""));
+    // The id of an open request, with another object; then a number that is open.
+    play.client(&request(5, "image", "9b20", ",block=1"));
+    play.client(&request(4, "image", "9b21", ""));
+    expect![[r#"
+        Client(1) <- *4 $1 1 $6 FAILED $0  $0
+        Client(1) <- *4 $1 2 $6 FAILED $0  $0
+        Client(1) <- *4 $1 3 $6 FAILED $0  $0
+        connect Node(1) 127.0.0.1:6005
+        Node(1) <- fetch 9b20 lane=post,name=7f3a,piece=0,ttl=1500 0
+        Client(1) <- *4 $1 5 $6 FAILED $0  $0
+        close Client(1)
+        Node(1) <- abort 9b20
+    "#]]
+    .assert_eq(&play.take());
+}
+
+#[test]
+fn a_connection_has_32_open_requests_at_most() {
+    let mut play = Play::new();
+    let mut all = Vec::new();
+    (1..=200).for_each(|tag| all.extend(request(tag, "post", &format!("{tag:016x}"), "")));
+    (1..=200).for_each(|tag| all.extend(message("ABORT", tag)));
+    play.client(&all);
+    let trace = play.take();
+    let count = |what: &str| trace.matches(what).count();
+    expect![[r#"
+        0 fetched, 168 busy
+    "#]]
+    .assert_eq(&format!("{} fetched, {} busy\n", count("<- fetch"), count("BUSY")));
+}
+
+#[test]
+fn clients_that_say_nothing_or_half_of_something_are_closed() {
+    let mut play = Play::new();
+    (2..=5).for_each(|client| play.event(Event::Accepted(client, LOOPBACK)));
+    let whole = message("HEALTH", 1);
+    // Client 1 says nothing, 2 half of something, 3 half of something after a whole, 4 rests, 5 waits.
+    play.event(Event::Received(Peer::Client(2), &whole[..9]));
+    play.event(Event::Received(Peer::Client(3), &[&whole[..], &whole[..9]].concat()));
+    play.event(Event::Received(Peer::Client(4), &whole));
+    play.event(Event::Received(Peer::Client(5), &request(7, "image", "9b1f", ",timeout=5000,need=100000")));
+    play.take();
+    let mut trace = String::new();
+    for ms in [1_900, 600, 2_500, 3_500] {
+        play.pass(ms);
+        trace += &format!("{ms} ms more\n");
+        trace += &play
+            .take()
+            .lines()
+            .filter(|line| line.contains("Client"))
+            .map(|l| format!("{l}\n"))
+            .collect::<String>();
+    }
+    expect![[r#"
+        1900 ms more
+        600 ms more
+        close Client(1)
+        close Client(2)
+        close Client(3)
+        2500 ms more
+        Client(5) <- *4 $1 7 $6 FAILED $0  $0
+        3500 ms more
+        close Client(4)
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn without_descriptors_those_who_never_asked_go_first() {
+    let mut play = Play::of(&CONFIG.replace("\"sockets\": 1024", "\"sockets\": 8"));
+    play.client(&message("HEALTH", 1));
+    play.event(Event::Accepted(2, LOOPBACK));
+    play.pass(200);
+    (3..=7).for_each(|client| play.event(Event::Accepted(client, LOOPBACK)));
+    let busy = |tag: u64| request(tag, "image", &format!("{tag:016x}"), ",need=100");
+    (3..=9).for_each(|client| {
+        play.event(Event::Accepted(client, LOOPBACK));
+        play.event(Event::Received(Peer::Client(client), &busy(client.into())));
+    });
+    let trace = play.take();
+    let clients = trace.lines().filter(|line| line.starts_with("close Client")).collect::<Vec<_>>();
+    expect![[r#"
+        close Client(2)
+        close Client(1)
+        close Client(3)
+        close Client(4)
+        close Client(5)
+        close Client(6)
+        close Client(7)
+        close Client(9)"#]]
+    .assert_eq(&clients.join("\n"));
+}
--- a/dispatcher/tests/dispatcher/common.rs
+++ b/dispatcher/tests/dispatcher/common.rs
@@ -53,6 +53,12 @@
     format!("*2\r\n${}\r\n{verb}\r\n${}\r\n{tag}\r\n", verb.len(), tag.len()).into_bytes()
 }
 
+/// The connection that the last pull went out on.
+pub fn last_connection(trace: &str) -> u32 {
+    let line = trace.lines().rev().find(|line| line.contains("<- fetch")).unwrap_or_default();
+    line.split(['(', ')']).nth(1).and_then(|number| number.parse().ok()).unwrap_or_default()
+}
+
 /// A reducer, the timers it asked for, and the trace.
 pub struct Play {
     reducer: Reducer,
