--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -1,12 +1,14 @@
 //! Client connections: what is open on each, what has not left yet, and who is read from.
 
 use crate::effects::{Effect, Peer};
+use crate::lingering::Lingering;
 use copperroute::interface::{DlId, Nanos, stable_hash};
 use copperroute_protocol::clients::{Answer, Decoder, encode};
 use std::collections::HashMap;
 use std::net::IpAddr;
 
-/// A client with more unsent than this is not read from until half of it has left.
+/// A client with more unsent than this reads slowly, until half of it has left: where memory is short it goes without
+/// first. It is read from all the same, or it could neither abort nor leave.
 const UNSENT: u64 = 512 * 1024;
 
 /// Requests open on one connection at most, by the protocol.
@@ -31,8 +33,10 @@
     /// Bytes given to the connection, and those that have left.
     queued: u64,
     written: u64,
-    /// It reads so slowly that it is not read from either.
-    held_back: bool,
+    /// It reads slowly.
+    slow: bool,
+    /// What it sends can't be read any more: it is closed once all that it asked before is answered.
+    deaf: bool,
     /// When bytes last left, or began to wait.
     moved: Nanos,
     /// When it connected, or last sent a whole message, or was last written to.
@@ -52,6 +56,16 @@
         self.open.is_empty() && self.unsent() == 0
     }
 
+    /// Nothing that it sends is decoded any more.
+    pub fn turn_deaf(&mut self) {
+        (self.deaf, self.midway, self.decoder) = (true, None, Decoder::default());
+    }
+
+    /// Whether what it sends is not decoded any more.
+    pub fn is_deaf(&self) -> bool {
+        self.deaf
+    }
+
     /// A whole message has come.
     pub fn spoke(&mut self, now: Nanos) {
         (self.active, self.asked, self.midway) = (now, true, None);
@@ -77,12 +91,14 @@
 pub struct Clients {
     by_number: HashMap<u32, Client>,
     unsent: u64,
+    /// Those whose connections are ending.
+    pub lingering: Lingering,
 }
 
 impl Clients {
-    /// How many there are.
+    /// How many connections there are, also of those that are ending.
     pub fn count(&self) -> usize {
-        self.by_number.len()
+        self.by_number.len() + self.lingering.count()
     }
 
     /// Bytes for all of them that have not left.
@@ -106,9 +122,9 @@
         self.by_number.get(&number).map_or(0, |client| client.from)
     }
 
-    /// Whether a client reads so slowly that it is not read from.
-    pub fn is_held_back(&self, number: u32) -> bool {
-        self.by_number.get(&number).is_some_and(|client| client.held_back)
+    /// Whether a client reads slowly.
+    pub fn is_slow(&self, number: u32) -> bool {
+        self.by_number.get(&number).is_some_and(|client| client.slow)
     }
 
     /// Writes to a client, if it is still there.
@@ -129,34 +145,59 @@
         client.queued += bytes.len() as u64;
         self.unsent += bytes.len() as u64;
         effects.push(Effect::Write(Peer::Client(number), bytes));
-        if client.unsent() > UNSENT && !client.held_back {
-            client.held_back = true;
-            effects.push(Effect::Read(Peer::Client(number), false));
-        }
+        client.slow |= client.unsent() > UNSENT;
     }
 
     /// Bytes for a client have left, so many in all.
-    pub fn written(&mut self, number: u32, total: u64, now: Nanos, effects: &mut Vec<Effect>) {
+    pub fn written(&mut self, number: u32, total: u64, now: Nanos) {
         let Some(client) = self.by_number.get_mut(&number) else { return };
         client.moved = now;
         self.unsent -= total.saturating_sub(client.written);
         client.written = total;
-        if client.held_back && client.unsent() <= UNSENT / 2 {
-            client.held_back = false;
-            effects.push(Effect::Read(Peer::Client(number), true));
-        }
+        client.slow &= client.unsent() > UNSENT / 2;
     }
 
-    /// A client's connection ends; returns what was open on it.
-    pub fn remove(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<DlId> {
-        let Some(client) = self.by_number.remove(&number) else { return Vec::new() };
+    /// Lets go of a client; returns what was open on it.
+    fn forget(&mut self, number: u32) -> Option<Vec<DlId>> {
+        let client = self.by_number.remove(&number)?;
         self.unsent -= client.unsent();
-        effects.push(Effect::Close(Peer::Client(number)));
         let mut open: Vec<_> = client.open.into_values().collect();
         open.sort_by_key(|dl| dl.0);
+        Some(open)
+    }
+
+    /// A client's connection ends at once; returns what was open on it.
+    pub fn remove(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<DlId> {
+        self.lingering.ended(number);
+        effects.push(Effect::Close(Peer::Client(number)));
+        self.forget(number).unwrap_or_default()
+    }
+
+    /// A client's connection ends by a lingering close; returns what was open on it.
+    pub fn shut(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) -> Vec<DlId> {
+        let Some(open) = self.forget(number) else { return Vec::new() };
+        effects.push(Effect::Shut(Peer::Client(number)));
+        let instead = self.lingering.begin(now, number);
+        effects.extend(instead.map(|oldest| Effect::Close(Peer::Client(oldest))));
         open
     }
 
+    /// All clients' connections end, as the program does.
+    pub fn shut_all(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        let mut numbers: Vec<_> = self.by_number.keys().copied().collect();
+        numbers.sort();
+        for number in numbers {
+            self.forget(number);
+            self.lingering.begin_last(now, number);
+            effects.push(Effect::Shut(Peer::Client(number)));
+        }
+    }
+
+    /// Connections that have lingered for long enough are closed.
+    pub fn sweep(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        effects.extend(self.lingering.over(now).into_iter().map(|n| Effect::Close(Peer::Client(n))));
+    }
+
     /// The clients that said nothing, or half of something, or rested, for too long.
     pub fn overdue(&self, now: Nanos) -> Vec<u32> {
         let overdue = self.by_number.iter().filter(|(_, client)| client.is_overdue(now));
@@ -173,7 +214,7 @@
         stuck
     }
 
-    /// Closes up to `most` connections on which nothing is open, but not the one that is spared: first those
+    /// Ends up to `most` connections on which nothing is open, but not the one that is spared: first those
     /// that never asked, then those that rested longest, last those that have just come.
     pub fn close_idle(&mut self, most: usize, spared: Option<u32>, now: Nanos, effects: &mut Vec<Effect>) {
         let idle = self.by_number.iter().filter(|(number, c)| c.is_idle() && Some(**number) != spared);
@@ -181,7 +222,25 @@
         let mut idle: Vec<_> = idle.map(|(number, c)| (place(c), c.active, *number)).collect();
         idle.sort();
         for (_, _, number) in idle.into_iter().take(most) {
-            self.remove(number, effects);
+            self.shut(number, now, effects);
+        }
+    }
+
+    /// Of more connections than so many, those that linger are closed first.
+    pub fn cut_lingering(&mut self, most: usize, effects: &mut Vec<Effect>) {
+        while self.count() > most
+            && let Some(number) = self.lingering.oldest()
+        {
+            effects.push(Effect::Close(Peer::Client(number)));
+        }
+    }
+
+    /// Descriptors are wanted at once: those that linger are closed, and up to `most` on which nothing is open.
+    pub fn make_room(&mut self, most: usize, now: Nanos, effects: &mut Vec<Effect>) {
+        self.close_idle(most, None, now, effects);
+        effects.retain(|effect| !matches!(effect, Effect::Shut(Peer::Client(_))));
+        while let Some(number) = self.lingering.oldest() {
+            effects.push(Effect::Close(Peer::Client(number)));
         }
     }
 }
--- a/dispatcher/src/desk/list.rs
+++ b/dispatcher/src/desk/list.rs
@@ -5,7 +5,17 @@
 impl Desk {
     /// The index of a listed node, new or known.
     pub fn list(&mut self, id: &str, pool: Pool) -> NodeId {
-        self.nodes.list(id, pool, self.now, &mut self.effects)
+        let (node, moved) = self.nodes.list(id, pool, self.now, &mut self.effects);
+        // What was not sent to where it was must not reach who is there now.
+        if !moved.is_empty() {
+            self.take_back(|_, out| moved.contains(&out.pull.node) || moved.contains(&out.pull.source));
+        }
+        node
+    }
+
+    /// Whether any node that takes work is listed.
+    pub fn has_nodes(&self) -> bool {
+        self.nodes.any_ready()
     }
 
     /// How many objects there is a place for: those in the shadow table, and one that is in hand beside them.
@@ -49,13 +59,21 @@
 
     /// Ends the pulls that are meant and were not sent, so that the module orders anew.
     pub(super) fn take_back(&mut self, meant: impl Fn(&Held, &HeldPull) -> bool) {
+        self.take_back_of(|_, held, out| meant(held, out));
+    }
+
+    /// The same by what the pulls are.
+    pub(super) fn take_back_of(&mut self, meant: impl Fn(&PullRef, &Held, &HeldPull) -> bool) {
         let held = &self.held;
         let meant = |pull: &PullRef| {
-            let held = held.get(pull.dl.0);
-            held.is_some_and(|held| held.pulls.get(pull.number as usize).is_some_and(|out| meant(held, out)))
+            let of = held.get(pull.dl.0);
+            let out = of.and_then(|of| of.pulls.get(pull.number as usize).map(|out| (of, out)));
+            out.is_some_and(|(of, out)| meant(pull, of, out))
         };
-        for pull in self.nodes.take_back(meant) {
+        let (pulls, freed) = self.nodes.take_back(meant, &mut self.effects);
+        for pull in pulls {
             self.end(pull, Outcome::NotSent, None);
         }
+        freed.into_iter().for_each(|connection| self.hand_over(connection));
     }
 }
--- a/dispatcher/src/desk/mod.rs
+++ b/dispatcher/src/desk/mod.rs
@@ -25,7 +25,7 @@
 use std::collections::{HashSet, VecDeque};
 
 /// Of the memory, what may wait for clients. With more than half of that, those that are held back for reading
-/// slowly get no further bytes; with more than all of it, nodes are not read from until half of it has left.
+/// slowly get no further bytes, and are refused what they ask for; with more than all of it, nodes are not read from until half of it has left.
 const UNSENT_PART: u64 = 4;
 /// Of the descriptors, what connections to nodes may take before they are shared.
 const NODES_PART: usize = 4;
@@ -102,9 +102,11 @@
 impl Desk {
     /// An empty desk.
     pub fn new(connections: Connections, limits: Limits, seed: u64) -> Self {
+        let mut clients = Clients::default();
+        clients.lingering.limit(limits.sockets as usize);
         Desk {
             now: Nanos::ZERO,
-            clients: Clients::default(),
+            clients,
             nodes: Nodes::new(connections, limits.sockets as usize / NODES_PART, seed),
             dls: Ids::default(),
             held: Slots::default(),
@@ -123,6 +125,7 @@
     /// Takes new limits.
     pub fn limit(&mut self, connections: Connections, limits: Limits) {
         self.most_unsent = limits.memory_mb * 1024 * 1024 / UNSENT_PART;
+        self.clients.lingering.limit(limits.sockets as usize);
         self.nodes.limit(connections, limits.sockets as usize / NODES_PART);
     }
 
@@ -199,17 +202,48 @@
 
     /// Bytes for a client have left.
     pub fn client_written(&mut self, client: u32, total: u64) {
-        self.clients.written(client, total, self.now, &mut self.effects);
+        self.clients.written(client, total, self.now);
         self.balance();
     }
 
-    /// A client's connection ends; returns what was open on it.
+    /// A client's connection ends at once; returns what was open on it.
     pub fn remove_client(&mut self, client: u32) -> Vec<DlId> {
         let open = self.clients.remove(client, &mut self.effects);
         self.balance();
         open
     }
 
+    /// A client's connection ends by a lingering close; returns what was open on it.
+    pub fn shut_client(&mut self, client: u32) -> Vec<DlId> {
+        let open = self.clients.shut(client, self.now, &mut self.effects);
+        self.balance();
+        open
+    }
+
+    /// What a client sends can't be read on: what it asked before is answered, then its connection ends.
+    pub fn turn_deaf(&mut self, client: u32) {
+        if let Some(client) = self.clients.get_mut(client) {
+            client.turn_deaf();
+        }
+        self.end_if_deaf(client);
+    }
+
+    fn end_if_deaf(&mut self, client: u32) {
+        if self.clients.get_mut(client).is_some_and(|client| client.is_deaf() && client.open.is_empty()) {
+            self.shut_client(client);
+        }
+    }
+
+    /// Memory is short: clients that read slowly go without.
+    pub fn is_short_for(&self, client: u32) -> bool {
+        self.clients.unsent() > self.most_unsent / 2 && self.clients.is_slow(client)
+    }
+
+    /// Memory has run out, and a client that reads slowly asks for more.
+    pub fn has_run_out_for(&self, client: u32) -> bool {
+        self.clients.unsent() > self.most_unsent && self.clients.is_slow(client)
+    }
+
     /// While clients take too little, nodes are not read from: what they hold back costs no memory here.
     fn balance(&mut self) {
         let most = self.most_unsent / if self.nodes.are_held_back() { 2 } else { 1 };
@@ -234,6 +268,7 @@
         }
         if let Some((client, tag)) = self.settle(dl) {
             self.write(client, tag, answer);
+            self.end_if_deaf(client);
         }
     }
 
@@ -271,4 +306,21 @@
             self.give_up(PullRef { dl, number }, Outcome::TimedOut);
         }
     }
+
+    /// What was not sent for a download that nobody waits for never will be, also where pulls are not called off.
+    pub fn drop_unsent(&mut self, dl: DlId) {
+        self.take_back_of(|pull, _, _| pull.dl == dl);
+    }
+
+    /// A pull that may be sent until now only is taken back, if it has not left whole.
+    pub fn too_late(&mut self, pull: PullRef, serial: u64) {
+        let held = self.held.get(pull.dl.0).filter(|held| held.serial == serial);
+        let out = held.and_then(|held| held.pulls.get(pull.number as usize)).filter(|out| out.out);
+        let Some(connection) = out.map(|out| out.connection) else { return };
+        self.take_back_of(|other, _, _| *other == pull);
+        // A part of it has left: the node must not get the rest.
+        if self.nodes.is_partly_written(connection, pull) {
+            self.node_closed(connection);
+        }
+    }
 }
--- a/dispatcher/src/desk/outbox.rs
+++ b/dispatcher/src/desk/outbox.rs
@@ -13,6 +13,9 @@
         log::debug!(target: TRACE, "{id} pull {} to {node} from {from} rank {rank}", place.number);
         let connection = self.nodes.take(pull.node, place, id, held.once, self.now, &mut self.effects);
         let (at, number) = (self.now, connection.unwrap_or_default());
+        if let Some(by) = pull.send_by {
+            self.effects.push(Effect::Arm(by, Due::SendBy(place, held.serial)));
+        }
         held.pulls.push(HeldPull { pull: *pull, source, at, out: true, connection: number });
         match connection {
             Some(connection) => self.hand_over(connection),
--- a/dispatcher/src/desk/pulls.rs
+++ b/dispatcher/src/desk/pulls.rs
@@ -21,13 +21,13 @@
             self.offered.extend(told.and_then(|told| held.offer(told)));
         }
         if let Some(told) = told.filter(|_| closed) {
-            let short = self.clients.unsent() > self.most_unsent / 2;
+            let short = self.is_short_for(client);
             self.answer(
                 pull.dl,
                 match told.current {
                     true => Answer::Current,
                     // It may have run, so nothing is promised; others are served from what memory is left.
-                    false if short && self.clients.is_held_back(client) => Answer::Abandoned,
+                    false if short => Answer::Abandoned,
                     false => Answer::Fulfilled(&told.body),
                 },
             );
@@ -43,14 +43,26 @@
         let Some(held) = self.held.get(pull.dl.0) else { return };
         let Some(out) = held.pulls.get(pull.number as usize).filter(|out| out.out) else { return };
         let id = held.request.id;
-        let unsent = self.nodes.give_up(out.connection, pull, id, held.owed, &mut self.effects);
+        let connection = out.connection;
+        let unsent = self.nodes.give_up(connection, pull, id, held.owed, &mut self.effects);
         let outcome = if unsent && outcome == Outcome::TimedOut { Outcome::NotSent } else { outcome };
         self.end(pull, outcome, None);
+        if unsent {
+            // What was behind it in the same bytes goes now.
+            self.hand_over(connection);
+        }
     }
 
     /// Hands over what waits for a connection: a pull is put into words as it is written.
     pub(super) fn hand_over(&mut self, connection: u32) {
         let (held, now) = (&self.held, self.now);
+        let late = |pull: &PullRef| {
+            let out = held.get(pull.dl.0).and_then(|held| held.pulls.get(pull.number as usize));
+            out.is_some_and(|out| out.pull.send_by.is_some_and(|by| by < now))
+        };
+        let late = self.nodes.take_back_on(connection, late);
+        late.into_iter().for_each(|pull| self.end(pull, Outcome::NotSent, None));
+        let held = &self.held;
         let fetch = |pull: PullRef| {
             let held = held.get(pull.dl.0)?;
             let out = held.pulls.get(pull.number as usize)?;
@@ -66,9 +78,10 @@
                 // The age means the same moment as when it was ordered.
                 order: Pull { max_age: order.max_age.map(|age| age.after(now.since(out.at))), ..*order },
                 held: request.held,
+                mark: request.mark.as_deref(),
                 body: &request.body,
             };
-            Some((fetch, held.expires))
+            Some((fetch, held.expires, held.once))
         };
         self.nodes.hand_over(connection, now, fetch, &mut self.effects);
     }
@@ -126,6 +139,13 @@
         }
     }
 
+    /// A connection to a node could not be made for want of something of this machine's own: the node is not to blame.
+    pub fn node_unopened(&mut self, connection: u32) {
+        for (pull, _) in self.nodes.ended(connection, self.now, &mut self.effects) {
+            self.end(pull, Outcome::NotSent, None);
+        }
+    }
+
     /// The time to connect is over.
     pub fn connect_overdue(&mut self, connection: u32) {
         if self.nodes.is_connecting(connection) {
--- a/dispatcher/src/effects.rs
+++ b/dispatcher/src/effects.rs
@@ -2,6 +2,7 @@
 //! timers that both use.
 
 use crate::config::Config;
+use crate::nodes::PullRef;
 use copperroute::interface::{DlId, Nanos};
 use copperroute_store::record::{Facts, Key};
 use std::net::{IpAddr, SocketAddr};
@@ -25,6 +26,8 @@
     Module(u64),
     /// A download expires.
     Expiry(DlId, u64),
+    /// A pull of a download may be sent no more, by the download's serial.
+    SendBy(PullRef, u64),
     /// A connection to a node should have come up.
     Connect(u32),
     /// A copy should have been read from disk.
@@ -37,6 +40,8 @@
     LastRequests,
     /// What is still open must be answered now.
     Drained,
+    /// Connections have lingered for long enough: the program ends.
+    Lingered,
 }
 
 /// What happens.
@@ -54,6 +59,12 @@
     Written(Peer, u64),
     /// A connection has ended, or could not be made.
     Closed(Peer),
+    /// The other side sends no more; it may still read.
+    Ended(Peer),
+    /// A connection could not be made for want of something of this machine's own, which says nothing of the other side.
+    Unopened(Peer),
+    /// All that had come when `Effect::ReadLast` was asked for has been told.
+    ReadLast,
     /// The time has come.
     Due(Due),
     /// The program is to end.
@@ -79,8 +90,15 @@
     Write(Peer, Vec<u8>),
     /// Read from a connection, or leave it alone for now.
     Read(Peer, bool),
+    /// Of what was to be written, drop the bytes from this place on, counted from the first ever given; none has left.
+    Retract(Peer, u64),
+    /// Write what is left, then end the sending side. What still comes is told until `Close`: a close over unread bytes
+    /// would be a reset, which can take with it what was written (lingering close).
+    Shut(Peer),
     /// Close, whatever is unwritten.
     Close(Peer),
+    /// Accept what waits, listen no more, and tell all that has come from clients.
+    ReadLast,
     /// Report when this time has come.
     Arm(Nanos, Due),
     /// Read a copy from disk for a ticket.
--- a/dispatcher/src/event_loop/connections.rs
+++ b/dispatcher/src/event_loop/connections.rs
@@ -14,12 +14,14 @@
     pub(super) at: usize,
     /// Bytes that have left in all.
     pub(super) left: u64,
+    /// The sending side ends once all is written.
+    pub(super) shuts: bool,
 }
 
 impl Carrier {
     /// Accepts what waits; tells whether there were descriptors for it.
-    pub(super) fn accept(&mut self, listener: &TcpListener) -> bool {
-        for _ in 0..ACCEPTED_AT_ONCE {
+    pub(super) fn accept(&mut self, listener: &TcpListener, most: usize) -> bool {
+        for _ in 0..most {
             match listener.accept() {
                 Ok((stream, from)) => {
                     self.last_client += 1;
@@ -54,14 +56,34 @@
         let begun = begin().or_else(|fault| {
             // Being out of descriptors says nothing of the other side.
             if matches!(fault.raw_os_error(), Some(EMFILE | ENFILE)) {
-                self.reduce(Event::NoDescriptors);
+                self.make_room();
                 return begin();
             }
             Err(fault)
         });
-        let inserted = begun.is_ok_and(|stream| self.insert(peer, stream, true));
-        if !inserted {
-            self.reduce(Event::Closed(peer));
+        let own_fault = |fault: &io::Error| OWN_FAULTS.contains(&fault.raw_os_error().unwrap_or_default());
+        match begun {
+            // Nothing was asked of the other side yet: what lacks is this machine's own.
+            Err(fault) if own_fault(&fault) => {
+                self.complaints.warn(self.clock.now(), format_args!("connect: {fault}"));
+                self.reduce(Event::Unopened(peer));
+            }
+            Err(_) => self.reduce(Event::Closed(peer)),
+            Ok(stream) => {
+                if !self.insert(peer, stream, true) {
+                    self.reduce(Event::Unopened(peer));
+                }
+            }
+        }
+    }
+
+    /// Frees descriptors at once: what is closed for that is closed before the caller goes on.
+    fn make_room(&mut self) {
+        for effect in self.reducer.reduce(self.clock.now(), Event::NoDescriptors) {
+            match effect {
+                Effect::Close(peer) => self.close(peer),
+                other => self.effects.push_back(other),
+            }
         }
     }
 
@@ -77,9 +99,9 @@
         let registered = self.handle.register_dispatcher(source.clone());
         match (prepared, registered) {
             (Ok(()), Ok(token)) => {
-                let (unwritten, at, left) = (Vec::new(), 0, 0);
+                let (unwritten, at, left, reads, shuts) = (Vec::new(), 0, 0, true, false);
                 let connection =
-                    Connection { stream, source, token, connecting, reads: true, unwritten, at, left };
+                    Connection { stream, source, token, connecting, reads, unwritten, at, left, shuts };
                 self.connections.insert(peer, connection);
                 true
             }
@@ -106,8 +128,9 @@
         self.reduce(Event::Closed(peer));
     }
 
-    pub(super) fn ready(&mut self, peer: Peer, readiness: Readiness, scratch: &mut [u8]) {
-        let Some(connection) = self.connections.get_mut(&peer) else { return };
+    /// Carries out what a connection is ready for; tells whether more bytes may wait behind those read.
+    pub(super) fn ready(&mut self, peer: Peer, readiness: Readiness) -> bool {
+        let Some(connection) = self.connections.get_mut(&peer) else { return false };
         if connection.connecting {
             match connection.stream.take_error() {
                 Ok(None) => {
@@ -122,24 +145,86 @@
                 }
                 _ => self.closed(peer),
             }
-            return;
+            return false;
         }
         if readiness.writable {
             self.flush(peer);
         }
-        if readiness.readable || readiness.error {
-            self.read(peer, scratch);
+        (readiness.readable || readiness.error) && self.read(peer)
+    }
+
+    /// Reads once; tells whether all the room for it was taken: what is left shows in the next turn.
+    fn read(&mut self, peer: Peer) -> bool {
+        let Some(connection) = self.connections.get_mut(&peer) else { return false };
+        let mut scratch = std::mem::take(&mut self.scratch);
+        let full = match (&*connection.stream).read(&mut scratch) {
+            // A client may still read, and is to hear what becomes of what it asked for.
+            Ok(0) if matches!(peer, Peer::Client(_)) => {
+                self.reduce(Event::Ended(peer));
+                false
+            }
+            Ok(0) => {
+                self.closed(peer);
+                false
+            }
+            Ok(count) => {
+                self.reduce(Event::Received(peer, &scratch[..count]));
+                count == scratch.len()
+            }
+            Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => false,
+            Err(_) => {
+                self.closed(peer);
+                false
+            }
+        };
+        self.scratch = scratch;
+        full
+    }
+
+    /// A write has failed: what the other side had sent before is told first. An answer among it must not count as
+    /// broken off, or its download might run twice.
+    fn broken(&mut self, peer: Peer) {
+        for _ in 0..READS_OF_BROKEN {
+            if !self.read(peer) {
+                break;
+            }
+        }
+        if self.connections.contains_key(&peer) {
+            self.closed(peer);
         }
     }
 
-    /// Reads once: what is left shows in the next turn.
-    pub(super) fn read(&mut self, peer: Peer, scratch: &mut [u8]) {
-        let Some(connection) = self.connections.get_mut(&peer) else { return };
-        match (&*connection.stream).read(scratch) {
-            Ok(0) => self.closed(peer),
-            Ok(count) => self.reduce(Event::Received(peer, &scratch[..count])),
-            Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-            Err(_) => self.closed(peer),
+    /// The end of the program: accepts what waits, listens no more, and tells all that clients have sent by now.
+    pub(super) fn read_last(&mut self) {
+        if let Some(listener) = self.listener.take() {
+            self.accept(&listener, BACKLOG as usize);
+            self.handle.remove(self.listening);
+        }
+        let mut clients: Vec<_> =
+            self.connections.keys().copied().filter(|peer| matches!(peer, Peer::Client(_))).collect();
+        clients.sort();
+        for peer in clients {
+            let mut reads = 0;
+            while reads < READS_OF_BROKEN && self.read(peer) {
+                reads += 1;
+            }
+        }
+        self.reduce(Event::ReadLast);
+    }
+
+    /// Writes what is left, then ends the sending side.
+    pub(super) fn shut(&mut self, peer: Peer) {
+        if let Some(connection) = self.connections.get_mut(&peer) {
+            connection.shuts = true;
+            self.dirty.push(peer);
+        }
+    }
+
+    /// Drops bytes that have not left, from a place on.
+    pub(super) fn retract(&mut self, peer: Peer, from: u64) {
+        if let Some(connection) = self.connections.get_mut(&peer) {
+            let kept = from.saturating_sub(connection.left) as usize;
+            connection.unwritten.truncate(connection.at + kept);
         }
     }
 
@@ -161,7 +246,7 @@
 
     pub(super) fn flush(&mut self, peer: Peer) {
         let Some(connection) = self.connections.get_mut(&peer) else { return };
-        if connection.connecting || connection.unwritten.is_empty() {
+        if connection.connecting || (connection.unwritten.is_empty() && !connection.shuts) {
             return;
         }
         let before = connection.left;
@@ -173,7 +258,7 @@
             self.reduce(Event::Written(peer, left));
         }
         if flushed.is_err() {
-            self.closed(peer);
+            self.broken(peer);
         }
     }
 
@@ -198,6 +283,10 @@
 const EINPROGRESS: i32 = 115;
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
+/// Out of memory, of descriptors (both), of addresses, of room for them.
+const OWN_FAULTS: [i32; 5] = [12, ENFILE, EMFILE, 99, 105];
+/// Reads of a connection that has failed, or at the end, at most: a peer that never stops is not heard out.
+const READS_OF_BROKEN: usize = 16;
 
 impl Connection {
     /// Writes as much as goes.
@@ -216,6 +305,9 @@
         }
         self.unwritten = Vec::new();
         self.at = 0;
+        if std::mem::take(&mut self.shuts) {
+            self.stream.shutdown(Shutdown::Write)?;
+        }
         Ok(())
     }
 }
--- a/dispatcher/src/event_loop/mod.rs
+++ b/dispatcher/src/event_loop/mod.rs
@@ -16,9 +16,9 @@
 use copperroute_store::record::Facts;
 use copperroute_store::worker::{Answers, Worker};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -37,6 +37,8 @@
 const ACCEPTED_AT_ONCE: usize = 64;
 /// How often it is looked whether the operator's file has changed, where versions of rules come with it.
 const WATCHED: Duration = Duration::from_secs(1);
+/// What is due waits for so many turns at most while connections have more to tell than was read of them.
+const TURNS_FIRST: u32 = 16;
 /// Without a descriptor for a client that waits, the listener rests for so long.
 const REST: Duration = Duration::from_millis(20);
 
@@ -81,8 +83,18 @@
     clock: Clock,
     reducer: Reducer,
     connections: HashMap<Peer, Connection>,
+    /// Where clients connect; none at the end.
+    listener: Option<Rc<TcpListener>>,
+    listening: RegistrationToken,
+    /// What the reducer has asked for and is not carried out yet, in order: carrying out one thing may bring more.
+    effects: VecDeque<Effect>,
+    carrying: bool,
     /// Connections with something new to write.
     dirty: Vec<Peer>,
+    /// Room for what is read.
+    scratch: Vec<u8>,
+    /// All that clients have sent is to be told, for the last time.
+    reads_last: bool,
     last_client: u32,
     complaints: Sparse,
     stopped: bool,
@@ -134,15 +146,21 @@
         clock,
         reducer,
         connections: HashMap::new(),
+        listener: Some(listener),
+        listening,
+        effects: VecDeque::new(),
+        carrying: false,
         dirty: Vec::new(),
+        scratch: vec![0; READ_AT_ONCE],
+        reads_last: false,
         last_client: 0,
         complaints: Sparse::default(),
         stopped: false,
         disk: None,
         keeper,
     };
-    let mut scratch = vec![0; READ_AT_ONCE];
     let mut inbox = Inbox::default();
+    let mut put_off = 0;
     if let Some(disk) = disk {
         let (tell, told) = channel();
         carrier
@@ -170,7 +188,9 @@
     carrier.reduce(Event::Started);
     while !carrier.stopped {
         carrier.flush_all();
-        event_loop.dispatch(None, &mut inbox).map_err(said("event loop"))?;
+        // What was put off waits for nothing.
+        let wait = (put_off > 0).then_some(Duration::ZERO);
+        event_loop.dispatch(wait, &mut inbox).map_err(said("event loop"))?;
         if std::mem::take(&mut inbox.terminate) {
             carrier.reduce(Event::Terminate);
         }
@@ -178,25 +198,43 @@
             carrier.reload(sources);
         }
         // What has come is read before time is called on it: after a pause of the machine's all seems overdue.
-        // Each connection is read once, so what is due waits for a bounded time.
-        for (peer, readiness) in std::mem::take(&mut inbox.ready) {
-            carrier.ready(peer, readiness, &mut scratch);
+        // Drains and purges come first, then clients that leave, so that no node's answer leads to a pull for who has
+        // left, or to a node that drains. Each connection is read once; what is due waits while more may lie behind.
+        let mut ready = std::mem::take(&mut inbox.ready);
+        ready.sort_by_key(|(peer, _)| match peer {
+            Peer::ChangeLog(_) => 0,
+            Peer::Client(_) => 1,
+            Peer::Node(_) => 2,
+        });
+        let mut more = false;
+        for (peer, readiness) in ready {
+            more |= carrier.ready(peer, readiness);
         }
         for told in std::mem::take(&mut inbox.disk) {
             let copy = told.copy.as_ref().map(|(facts, body)| (*facts, body.as_slice()));
             carrier.reduce(if told.off { Event::DiskOff } else { Event::CopyRead(told.ticket, copy) });
         }
-        for due in std::mem::take(&mut inbox.due) {
-            carrier.reduce(Event::Due(due));
+        put_off = if more && put_off < TURNS_FIRST { put_off + 1 } else { 0 };
+        if put_off == 0 {
+            for due in std::mem::take(&mut inbox.due) {
+                carrier.reduce(Event::Due(due));
+            }
         }
-        if std::mem::take(&mut inbox.rested) {
+        let listener = carrier.listener.clone();
+        if std::mem::take(&mut inbox.rested) && listener.is_some() {
             carrier.handle.enable(&listening).map_err(said("listener"))?;
         }
-        if std::mem::take(&mut inbox.accept) && !carrier.accept(&listener) {
+        let waits = std::mem::take(&mut inbox.accept);
+        if let Some(listener) = listener.filter(|_| waits)
+            && !carrier.accept(&listener, ACCEPTED_AT_ONCE)
+        {
             carrier.handle.disable(&listening).map_err(said("listener"))?;
             let rest = Timer::from_duration(REST);
             carrier.insert_timer(rest, |inbox| inbox.rested = true);
         }
+        if std::mem::take(&mut carrier.reads_last) {
+            carrier.read_last();
+        }
     }
     carrier.flush_all();
     if let Some(disk) = carrier.disk.take() {
@@ -220,45 +258,59 @@
         }
     }
 
+    /// Hands in an event. What it asks for is carried out behind what was asked for before, as carrying that out may
+    /// have brought this event.
     fn reduce(&mut self, event: Event<'_>) {
-        for effect in self.reducer.reduce(self.clock.now(), event) {
-            match effect {
-                Effect::Connect(peer, address) => self.connect(peer, address),
-                Effect::Write(peer, bytes) => self.write(peer, bytes),
-                Effect::Read(peer, wanted) => {
-                    if let Some(connection) = self.connections.get_mut(&peer) {
-                        connection.reads = wanted;
-                    }
-                    self.set_interest(peer);
-                }
-                Effect::Close(peer) => self.close(peer),
-                Effect::Arm(at, due) => {
-                    let timer = Timer::from_deadline(self.clock.instant(at));
-                    self.insert_timer(timer, move |inbox| inbox.due.push(due));
-                }
-                Effect::ReadCopy(key, ticket) => {
-                    if !self.disk.as_ref().is_some_and(|disk| disk.read(key, ticket)) {
-                        self.reduce(Event::CopyRead(ticket, None));
-                    }
-                }
-                Effect::KeepCopy(key, facts, rank, body) => {
-                    if let Some(disk) = &self.disk {
-                        disk.write(key, facts, rank, body);
-                    }
+        self.effects.extend(self.reducer.reduce(self.clock.now(), event));
+        if std::mem::replace(&mut self.carrying, true) {
+            return;
+        }
+        while let Some(effect) = self.effects.pop_front() {
+            self.carry_out(effect);
+        }
+        self.carrying = false;
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Connect(peer, address) => self.connect(peer, address),
+            Effect::Write(peer, bytes) => self.write(peer, bytes),
+            Effect::Retract(peer, from) => self.retract(peer, from),
+            Effect::Read(peer, wanted) => {
+                if let Some(connection) = self.connections.get_mut(&peer) {
+                    connection.reads = wanted;
                 }
-                Effect::MarkObject(object, at_ms, seq) => {
-                    self.disk.iter().for_each(|disk| disk.purge_object(object, at_ms, seq));
+                self.set_interest(peer);
+            }
+            Effect::Shut(peer) => self.shut(peer),
+            Effect::Close(peer) => self.close(peer),
+            Effect::ReadLast => self.reads_last = true,
+            Effect::Arm(at, due) => {
+                let timer = Timer::from_deadline(self.clock.instant(at));
+                self.insert_timer(timer, move |inbox| inbox.due.push(due));
+            }
+            Effect::ReadCopy(key, ticket) => {
+                if !self.disk.as_ref().is_some_and(|disk| disk.read(key, ticket)) {
+                    self.reduce(Event::CopyRead(ticket, None));
                 }
-                Effect::MarkGroup(group, at_ms, seq) => {
-                    self.disk.iter().for_each(|disk| disk.purge_group(group, at_ms, seq));
+            }
+            Effect::KeepCopy(key, facts, rank, body) => {
+                if let Some(disk) = &self.disk {
+                    disk.write(key, facts, rank, body);
                 }
-                Effect::KeepList(bytes) => {
-                    if let Some(keeper) = &self.keeper {
-                        keeper.keep(bytes);
-                    }
+            }
+            Effect::MarkObject(object, at_ms, seq) => {
+                self.disk.iter().for_each(|disk| disk.purge_object(object, at_ms, seq));
+            }
+            Effect::MarkGroup(group, at_ms, seq) => {
+                self.disk.iter().for_each(|disk| disk.purge_group(group, at_ms, seq));
+            }
+            Effect::KeepList(bytes) => {
+                if let Some(keeper) = &self.keeper {
+                    keeper.keep(bytes);
                 }
-                Effect::Exit => self.stopped = true,
             }
+            Effect::Exit => self.stopped = true,
         }
     }
 
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event_loop;
 pub mod keeper;
 pub mod last_list;
+pub mod lingering;
 pub mod logs;
 pub mod nodes;
 pub mod phases;
--- /dev/null
+++ b/dispatcher/src/lingering.rs
@@ -0,0 +1,82 @@
+//! Decisions on lingering close: a client's connection whose sending side has ended is read on for a bounded time and
+//! number of bytes, and what comes is dropped. Closed at once over unread bytes it would be reset, and the reset can take
+//! with it answers that were written. No input or output; time comes with each call.
+
+use copperroute::interface::Nanos;
+use std::collections::VecDeque;
+
+/// A client on the other side of a slow network has read the end, and closed, by then.
+const LINGERS: Nanos = Nanos(1_000_000_000);
+/// The same at the end of the program: what was told to end is killed 0.2 s after all must be answered.
+pub const LINGERS_AT_END: Nanos = Nanos(100_000_000);
+/// Who sends more than this behind the end, in bytes, is a client that does not listen.
+const MOST_BYTES: u64 = 512 * 1024;
+/// Of the descriptors, one in so many may linger, and this many always may: then the oldest is closed.
+const PART: usize = 32;
+const LEAST: usize = 4;
+
+/// One connection that lingers.
+#[derive(Debug, Clone, Copy)]
+struct Ending {
+    number: u32,
+    until: Nanos,
+    bytes: u64,
+}
+
+/// The connections that linger, in the order in which they began to.
+#[derive(Debug, Default)]
+pub struct Lingering {
+    endings: VecDeque<Ending>,
+    most: usize,
+}
+
+impl Lingering {
+    /// Takes a limit of descriptors.
+    pub fn limit(&mut self, descriptors: usize) {
+        self.most = (descriptors / PART).max(LEAST);
+    }
+
+    /// How many linger.
+    pub fn count(&self) -> usize {
+        self.endings.len()
+    }
+
+    /// A connection's sending side ends now. Returns the one that is to be closed in its place, if there are too many.
+    pub fn begin(&mut self, now: Nanos, number: u32) -> Option<u32> {
+        self.endings.push_back(Ending { number, until: now.after(LINGERS), bytes: 0 });
+        if self.endings.len() <= self.most { None } else { self.oldest() }
+    }
+
+    /// The same at the end of the program, however many there are.
+    pub fn begin_last(&mut self, now: Nanos, number: u32) {
+        self.endings.push_back(Ending { number, until: now.after(LINGERS_AT_END), bytes: 0 });
+    }
+
+    /// The one that lingers longest lingers no more.
+    pub fn oldest(&mut self) -> Option<u32> {
+        self.endings.pop_front().map(|ending| ending.number)
+    }
+
+    /// So many bytes came on a connection; tells whether that is enough of it.
+    pub fn came(&mut self, number: u32, bytes: usize) -> bool {
+        let Some(at) = self.endings.iter().position(|ending| ending.number == number) else { return false };
+        self.endings[at].bytes += bytes as u64;
+        let enough = self.endings[at].bytes > MOST_BYTES;
+        if enough {
+            self.endings.remove(at);
+        }
+        enough
+    }
+
+    /// A connection has ended.
+    pub fn ended(&mut self, number: u32) {
+        self.endings.retain(|ending| ending.number != number);
+    }
+
+    /// The connections whose time is over.
+    pub fn over(&mut self, now: Nanos) -> Vec<u32> {
+        let over: Vec<_> = self.endings.iter().filter(|e| e.until <= now).map(|e| e.number).collect();
+        self.endings.retain(|ending| ending.until > now);
+        over
+    }
+}
--- a/dispatcher/src/nodes/connection.rs
+++ b/dispatcher/src/nodes/connection.rs
@@ -18,8 +18,11 @@
     pub(super) pull: Option<PullRef>,
     /// When it was written.
     pub(super) at: Nanos,
-    /// The place in the connection's bytes behind its last.
+    /// Its first place in the connection's bytes, and the place behind its last.
+    pub(super) begin: u64,
     pub(super) end: u64,
+    /// Its download may not simply run again.
+    pub(super) once: bool,
     /// When its download expires: after that its id does not come again.
     pub(super) expires: Nanos,
 }
@@ -37,7 +40,9 @@
     pub(super) waiting: VecDeque<PullRef>,
     /// Pulls written and not yet answered, by the downloads' ids.
     pub(super) out: HashMap<Hex, Written>,
-    /// How many of those still are somebody's.
+    /// Words that give pulls up and may not have left yet: where they begin, and of which id.
+    pub(super) aborts: VecDeque<(u64, Hex)>,
+    /// How many of the pulls written and not yet answered still are somebody's.
     pub(super) live: usize,
     /// Bytes given to the connection, and those that have left.
     pub(super) queued: u64,
@@ -63,6 +68,7 @@
             decoder: Decoder::default(),
             waiting: VecDeque::new(),
             out: HashMap::new(),
+            aborts: VecDeque::new(),
             live: 0,
             queued: 0,
             written: 0,
@@ -74,6 +80,55 @@
         }
     }
 
+    /// Unsays what has not begun to leave, from the first pull that is meant on. Returns the pulls that were meant; those
+    /// that were not wait again. Of bytes given to the connection only their number is known here, so what is to be
+    /// said all the same is said anew.
+    pub(super) fn unsay(
+        &mut self,
+        number: u32,
+        meant: &impl Fn(&PullRef) -> bool,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<PullRef> {
+        if self.queued <= self.written {
+            return Vec::new();
+        }
+        let unbegun = |w: &Written| w.begin >= self.written && w.end > self.written;
+        let is_meant = |w: &Written| unbegun(w) && w.pull.is_some_and(|pull| meant(&pull));
+        let Some(from) = self.out.values().filter(|w| is_meant(w)).map(|w| w.begin).min() else {
+            return Vec::new();
+        };
+        let mut behind: Vec<_> =
+            self.out.iter().filter(|(_, w)| w.begin >= from).map(|(id, w)| (w.begin, *id, w.pull)).collect();
+        behind.sort_by_key(|(begin, ..)| *begin);
+        let mut back = Vec::new();
+        for (_, id, pull) in behind.into_iter().rev() {
+            self.out.remove(&id);
+            let Some(pull) = pull else { continue };
+            self.live -= 1;
+            match meant(&pull) {
+                true => back.push(pull),
+                false => self.waiting.push_front(pull),
+            }
+        }
+        self.queued = from;
+        effects.push(Effect::Retract(Peer::Node(number), from));
+        let (kept, unsaid): (Vec<_>, Vec<_>) = self.aborts.drain(..).partition(|(begin, _)| *begin < from);
+        self.aborts.extend(kept);
+        for (_, id) in unsaid.into_iter().filter(|(_, id)| self.out.contains_key(id)).collect::<Vec<_>>() {
+            self.say_abort(number, id, effects);
+        }
+        back
+    }
+
+    /// Tells the node that what was asked under an id is given up.
+    pub(super) fn say_abort(&mut self, number: u32, id: Hex, effects: &mut Vec<Effect>) {
+        let mut bytes = Vec::new();
+        encode_abort(id, &mut bytes);
+        self.aborts.push_back((self.queued, id));
+        self.queued += bytes.len() as u64;
+        effects.push(Effect::Write(Peer::Node(number), bytes));
+    }
+
     /// The pulls that it carries or will carry.
     pub(super) fn load(&self) -> usize {
         self.waiting.len() + self.live
--- a/dispatcher/src/nodes/connections.rs
+++ b/dispatcher/src/nodes/connections.rs
@@ -27,6 +27,9 @@
     pub fn written(&mut self, number: u32, total: u64) {
         if let Some(connection) = self.connections.get_mut(&number) {
             connection.written = total;
+            while connection.aborts.front().is_some_and(|(begin, _)| *begin < total) {
+                connection.aborts.pop_front();
+            }
         }
     }
 
@@ -53,8 +56,12 @@
             }
             Ok(Some(answer)) => {
                 connection.answered = now;
-                let written = answer.id.and_then(|id| connection.out.remove(&id));
-                let pull = written.and_then(|written| written.pull);
+                // A second answer may follow. Where a download may run once only, a later pull of it must not be taken
+                // for ended by that, so its id is not used on this connection again.
+                let pull = answer.id.and_then(|id| match connection.out.get_mut(&id) {
+                    Some(written) if written.once => written.pull.take(),
+                    _ => connection.out.remove(&id).and_then(|written| written.pull),
+                });
                 connection.live -= usize::from(pull.is_some());
                 Next::Answer(pull, answer)
             }
@@ -65,6 +72,13 @@
         }
     }
 
+    /// Whether a pull has begun to leave on a connection and is not whole.
+    pub fn is_partly_written(&self, number: u32, pull: PullRef) -> bool {
+        let Some(connection) = self.connections.get(&number) else { return false };
+        let mut out = connection.out.values();
+        out.any(|w| w.pull == Some(pull) && w.begin < connection.written && connection.written < w.end)
+    }
+
     /// A connection is over, or never came up; one that came up and brought nothing was turned away. Returns as
     /// `close`.
     pub fn ended(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) -> Vec<(PullRef, Outcome)> {
--- a/dispatcher/src/nodes/list.rs
+++ b/dispatcher/src/nodes/list.rs
@@ -8,22 +8,44 @@
         self.ids.key(node.0)
     }
 
-    /// The index of a listed node, new or known.
-    pub fn list(&mut self, id: &str, pool: Pool, now: Nanos, effects: &mut Vec<Effect>) -> NodeId {
+    /// The index of a listed node, new or known; and the nodes that are not where they were: it itself, if it is listed
+    /// anew, and another that was at its address, which must have gone whether that is told yet or not.
+    pub fn list(
+        &mut self,
+        id: &str,
+        pool: Pool,
+        now: Nanos,
+        effects: &mut Vec<Effect>,
+    ) -> (NodeId, Vec<NodeId>) {
         let node = NodeId(self.ids.open(id.to_string()));
         let address = pool.address.map_or("no address".to_string(), |address| address.to_string());
         log::info!("node {}: {id} at {address}, {:?}", node.0, pool.readiness);
+        let mut moved = Vec::new();
+        if pool.address.is_some() && pool.readiness != Readiness::Gone {
+            let there = |at: &u32| self.pools.get(*at).is_some_and(|other| other.address == pool.address);
+            moved.extend((0..self.ids.count()).filter(|at| *at != node.0 && there(at)).map(NodeId));
+        }
+        for other in &moved {
+            self.pools.get_mut(other.0).into_iter().for_each(|other| other.address = None);
+            self.retire(*other, now, effects);
+        }
         let Some(known) = self.pools.get_mut(node.0) else {
             self.pools.put(node.0, pool);
-            return node;
+            return (node, moved);
         };
         let anew = pool.started > known.started || (pool.address.is_some() && pool.address != known.address);
         let (connections, opening) = (std::mem::take(&mut known.connections), known.opening);
         *known = Pool { address: pool.address.or(known.address), connections, opening, ..pool };
         if anew {
             self.retire(node, now, effects);
+            moved.push(node);
         }
-        node
+        (node, moved)
+    }
+
+    /// Whether any node that takes work is listed.
+    pub fn any_ready(&self) -> bool {
+        self.pools.iter().any(|pool| pool.readiness == Readiness::Ready && pool.address.is_some())
     }
 
     /// The nodes that a whole list does not name.
--- a/dispatcher/src/nodes/pulls.rs
+++ b/dispatcher/src/nodes/pulls.rs
@@ -3,14 +3,31 @@
 use super::*;
 
 impl Nodes {
-    /// Takes back the pulls, to any node, that are meant and not yet written.
-    pub fn take_back(&mut self, meant: impl Fn(&PullRef) -> bool) -> Vec<PullRef> {
-        let mut back: Vec<PullRef> = Vec::new();
-        for connection in self.connections.values_mut() {
+    /// Takes back the pulls, to any node, that are meant and of which nothing has left. Tells also on which connections
+    /// others may have to be handed over anew.
+    pub fn take_back(
+        &mut self,
+        meant: impl Fn(&PullRef) -> bool,
+        effects: &mut Vec<Effect>,
+    ) -> (Vec<PullRef>, Vec<u32>) {
+        let (mut back, mut freed): (Vec<PullRef>, Vec<u32>) = Default::default();
+        for (number, connection) in &mut self.connections {
             back.extend(connection.waiting.iter().filter(|pull| meant(pull)));
             connection.waiting.retain(|pull| !meant(pull));
+            let unsaid = connection.unsay(*number, &meant, effects);
+            freed.extend((!unsaid.is_empty()).then_some(*number));
+            back.extend(unsaid);
         }
         back.sort_by_key(|pull| (pull.dl.0, pull.number));
+        freed.sort();
+        (back, freed)
+    }
+
+    /// Takes back those that are meant and wait for one connection.
+    pub fn take_back_on(&mut self, number: u32, meant: impl Fn(&PullRef) -> bool) -> Vec<PullRef> {
+        let Some(connection) = self.connections.get_mut(&number) else { return Vec::new() };
+        let back = connection.waiting.iter().copied().filter(|pull| meant(pull)).collect();
+        connection.waiting.retain(|pull| !meant(pull));
         back
     }
 
@@ -75,7 +92,7 @@
         &mut self,
         number: u32,
         now: Nanos,
-        fetch: impl Fn(PullRef) -> Option<(Fetch<'a>, Nanos)>,
+        fetch: impl Fn(PullRef) -> Option<(Fetch<'a>, Nanos, bool)>,
         effects: &mut Vec<Effect>,
     ) {
         let Some(connection) = self.connections.get_mut(&number) else { return };
@@ -86,10 +103,11 @@
         let mut bytes = Vec::new();
         while bytes.len() < GATHERED {
             let Some(pull) = connection.waiting.pop_front() else { break };
-            let Some((fetch, expires)) = fetch(pull) else { continue };
+            let Some((fetch, expires, once)) = fetch(pull) else { continue };
+            let begin = connection.queued + bytes.len() as u64;
             encode_fetch(&fetch, &mut bytes);
             let end = connection.queued + bytes.len() as u64;
-            let written = Written { pull: Some(pull), at: now, end, expires };
+            let written = Written { pull: Some(pull), at: now, begin, end, once, expires };
             connection.out.insert(fetch.id, written);
             connection.live += 1;
         }
@@ -116,14 +134,17 @@
             self.close_if_spent(number, effects);
             return true;
         }
-        let Some(written) = connection.out.get_mut(&id) else { return false };
+        if !connection.unsay(number, &|other| *other == pull, effects).is_empty() {
+            self.close_if_spent(number, effects);
+            return true;
+        }
+        let Some(written) = connection.out.get_mut(&id).filter(|w| w.pull == Some(pull)) else {
+            return false;
+        };
         written.pull = None;
         connection.live -= 1;
         let (node, since) = (connection.node, written.at);
-        let mut bytes = Vec::new();
-        encode_abort(id, &mut bytes);
-        connection.queued += bytes.len() as u64;
-        effects.push(Effect::Write(Peer::Node(number), bytes));
+        connection.say_abort(number, id, effects);
         if waited_for && connection.answered <= since {
             self.retire(node, since, effects);
         }
--- a/dispatcher/src/phases.rs
+++ b/dispatcher/src/phases.rs
@@ -1,7 +1,7 @@
 //! The program's life, from start to exit.
 
 /// Where the program stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Listening, but no list of nodes is known yet.
     Starting,
@@ -9,6 +9,8 @@
     Serving,
     /// Told to end: answers all that comes until nothing more can.
     Draining,
+    /// All is answered: connections are ended in order, and nothing more is taken.
+    Closing,
     /// Nothing is left to do.
     Stopped,
 }
@@ -37,7 +39,8 @@
         let allowed = match self.phase {
             Starting => matches!(to, Serving | Draining),
             Serving => to == Draining,
-            Draining => to == Stopped,
+            Draining => to == Closing,
+            Closing => to == Stopped,
             Stopped => false,
         };
         if allowed {
--- a/dispatcher/src/reducer/changes.rs
+++ b/dispatcher/src/reducer/changes.rs
@@ -75,7 +75,7 @@
     }
 
     pub(super) fn entry(&mut self, listed: &Listed) -> NodeEntry {
-        let place = |names: &[String], name: &str| place(names, name).unwrap_or(u32::MAX);
+        let place = |names: &[String], name: &str| place(names, name).unwrap_or(UNTOLD);
         let readiness = listed.state.into();
         let started_ms = listed.started_ms.filter(|ms| *ms > 0);
         let started = started_ms.map_or(Nanos::ZERO, |ms| self.epoch.time(ms));
@@ -92,7 +92,7 @@
             hash: stable_hash(listed.id.as_bytes()),
             zone: ZoneId(place(&self.config.names.zones, &listed.zone)),
             kind: place(&self.config.names.kinds, &listed.kind),
-            cell: listed.cell.unwrap_or(0),
+            cell: listed.cell.unwrap_or(UNTOLD),
             readiness,
             weight: listed.weight.unwrap_or(1.0),
             started,
--- a/dispatcher/src/reducer/clients.rs
+++ b/dispatcher/src/reducer/clients.rs
@@ -4,16 +4,24 @@
 
 impl Reducer {
     pub(super) fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
-        let Some(client) = self.desk.clients.get_mut(number) else { return };
+        let Some(client) = self.desk.clients.get_mut(number) else {
+            if self.desk.clients.lingering.came(number, bytes.len()) {
+                self.desk.effects.push(Effect::Close(Peer::Client(number)));
+            }
+            return;
+        };
+        if client.is_deaf() {
+            return;
+        }
         client.decoder.feed(bytes);
-        while let Some(client) = self.desk.clients.get_mut(number) {
+        while let Some(client) = self.desk.clients.get_mut(number).filter(|client| !client.is_deaf()) {
             let message = match client.decoder.next_message() {
                 Ok(Some(message)) => message,
                 Ok(None) => return client.pauses(now),
                 Err(fault) => {
                     self.complaints.warn(now, format_args!("client {number}: {fault}"));
                     log::debug!(target: "copperroute::trace", "client {number} unreadable");
-                    return self.client_closed(now, number);
+                    return self.desk.turn_deaf(number);
                 }
             };
             client.spoke(now);
@@ -27,9 +35,18 @@
                 // Two answers under one tag could not be told apart.
                 _ if open.is_some() => {
                     self.complaints.warn(now, format_args!("client {number}: tag {tag} is open already"));
+                    return self.desk.turn_deaf(number);
+                }
+                Message::Request(..) if self.desk.has_run_out_for(number) => {
+                    self.complaints.warn(now, format_args!("client {number}: takes too little, closed"));
                     return self.client_closed(now, number);
                 }
-                Message::Request(..) if taken >= MOST_OPEN => {
+                // At the end of the program, where memory is short, and past the protocol's limit: trying again is harmless.
+                Message::Request(..)
+                    if self.life.phase() >= Phase::Closing
+                        || self.desk.is_short_for(number)
+                        || taken >= MOST_OPEN =>
+                {
                     self.desk.write(number, tag, Answer::Throttled(None));
                 }
                 Message::Request(_, request) => self.download(now, number, tag, *request),
@@ -38,7 +55,7 @@
                     self.desk.write(number, tag, Answer::Abandoned);
                 }
                 Message::Health(_) => {
-                    let up = self.life.phase() == Phase::Serving;
+                    let up = self.life.phase() == Phase::Serving && self.desk.has_nodes();
                     self.desk.write(number, tag, if up { Answer::Up } else { Answer::Down });
                 }
             }
@@ -173,13 +190,33 @@
                 return self.desk.release(dl);
             }
             self.module.client_gone(now, dl, &mut self.desk);
+            // Where pulls are not called off, what waits to be sent must not be sent for who has left.
+            self.desk.drop_unsent(dl);
             self.hand_on_ends(now);
         }
     }
 
+    /// A client's connection has ended, or ends at once.
     pub(super) fn client_closed(&mut self, now: Nanos, number: u32) {
         self.desk.remove_client(number).into_iter().for_each(|dl| self.forsake(now, dl));
     }
+
+    /// A client's connection is to end in order.
+    pub(super) fn client_shut(&mut self, now: Nanos, number: u32) {
+        self.desk.shut_client(number).into_iter().for_each(|dl| self.forsake(now, dl));
+    }
+
+    /// A client sends no more. Most have left, so nothing more is sent for them; one that still reads is told at once.
+    pub(super) fn client_ended(&mut self, now: Nanos, number: u32) {
+        let open = self.desk.clients.get_mut(number).map(|client| client.open.clone()).unwrap_or_default();
+        let mut open: Vec<_> = open.into_iter().collect();
+        open.sort_by_key(|(tag, _)| *tag);
+        for (tag, dl) in open {
+            self.forsake(now, dl);
+            self.desk.write(number, tag, Answer::Abandoned);
+        }
+        self.client_closed(now, number);
+    }
 }
 
 /// What the disk is asked under: the download's slot, and enough of its serial to tell it from the next one there.
--- a/dispatcher/src/reducer/mod.rs
+++ b/dispatcher/src/reducer/mod.rs
@@ -10,14 +10,15 @@
 use crate::desk::Desk;
 use crate::effects::{Due, Effect, Event, Peer};
 use crate::last_list::LastList;
+use crate::lingering::LINGERS_AT_END;
 use crate::logs::Sparse;
 use crate::nodes::Pool;
 use crate::phases::{Life, Phase};
 use copperroute::calls::Calls;
 use copperroute::conduct::{Conduct, MOST_IDS, Verdict};
 use copperroute::interface::{
-    DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, Settings, TypeId, ZoneId, mix,
-    stable_hash,
+    DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, Settings, TypeId, UNTOLD,
+    ZoneId, mix, stable_hash,
 };
 use copperroute::opening::Opening;
 use copperroute::policy::Dispatcher;
@@ -41,6 +42,8 @@
 const LONGEST_DRAIN: Nanos = Nanos(3_000_000_000);
 /// A line may have taken so long on its way.
 const LATEST_LINE: Nanos = Nanos(1_000_000_000);
+/// Descriptors that are neither clients' nor nodes': log, listener, signals, timers, the change log, one just accepted.
+const OWN_DESCRIPTORS: usize = 12;
 /// Idle clients that are closed at once when descriptors run short.
 const IDLE_AT_ONCE: usize = 8;
 const SWEEP: Nanos = Nanos(250_000_000);
@@ -67,6 +70,8 @@
     last_requests: bool,
     /// All that was owed has been answered, whoever takes it or not.
     drained: bool,
+    /// All clients' connections are ending.
+    shut: bool,
     /// Own copies, where any are kept.
     copies: Option<Copies>,
     /// Downloads for which the disk was asked; the module is not told of them yet.
@@ -120,6 +125,7 @@
             epoch,
             last_requests: false,
             drained: false,
+            shut: false,
             complaints: Sparse::default(),
             conduct: Conduct::new(longest_expiry(&config), MOST_IDS),
             config,
@@ -156,13 +162,14 @@
             Event::Accepted(number, from) => {
                 log::debug!(target: "copperroute::trace", "client {number} from {from}");
                 self.desk.clients.accept(number, from, now);
-                if self.desk.clients.count() > self.most_clients() {
+                if self.desk.clients.count() > self.usual_clients() {
                     self.desk.clients.close_idle(IDLE_AT_ONCE, Some(number), now, &mut self.desk.effects);
                 }
-                // Nodes must stay within reach, whatever clients do.
-                if self.desk.clients.count() > self.most_clients() * 3 / 2 {
+                // Nodes and the change log must stay within reach, whatever clients do.
+                self.desk.clients.cut_lingering(self.most_clients(), &mut self.desk.effects);
+                if self.desk.clients.count() > self.most_clients() {
                     self.complaints.warn(now, format_args!("client: one too many, closed"));
-                    self.client_closed(now, number);
+                    self.client_shut(now, number);
                 }
             }
             Event::Connected(Peer::Node(number)) => self.desk.node_connected(number),
@@ -199,8 +206,21 @@
             Event::Written(Peer::Client(number), total) => self.desk.client_written(number, total),
             Event::Written(Peer::Node(number), total) => self.desk.node_written(number, total),
             Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
-            Event::Closed(Peer::Node(number)) => self.desk.node_closed(number),
-            Event::Closed(Peer::ChangeLog(number)) => self.log.closed(number, now, &mut self.desk.effects),
+            Event::Ended(Peer::Client(number)) => self.client_ended(now, number),
+            Event::Closed(Peer::Node(number)) | Event::Ended(Peer::Node(number)) => {
+                self.desk.node_closed(number)
+            }
+            Event::Unopened(Peer::Node(number)) => self.desk.node_unopened(number),
+            Event::Closed(Peer::ChangeLog(number))
+            | Event::Ended(Peer::ChangeLog(number))
+            | Event::Unopened(Peer::ChangeLog(number)) => {
+                self.log.closed(number, now, &mut self.desk.effects);
+            }
+            Event::ReadLast => {
+                self.desk.clients.shut_all(now, &mut self.desk.effects);
+                self.shut = true;
+                self.desk.effects.push(Effect::Arm(now.after(LINGERS_AT_END), Due::Lingered));
+            }
             Event::Due(due) => self.due(now, due),
             Event::Terminate => {
                 if self.life.move_to(Phase::Draining) {
@@ -222,13 +242,19 @@
                 waiting.into_iter().for_each(|dl| self.go_on(now, DlId(dl)));
             }
             Event::NoDescriptors => {
-                self.desk.clients.close_idle(IDLE_AT_ONCE, None, now, &mut self.desk.effects);
+                self.desk.clients.make_room(IDLE_AT_ONCE, now, &mut self.desk.effects);
             }
-            Event::Connected(Peer::Client(_)) | Event::Written(Peer::ChangeLog(_), _) => {}
+            Event::Connected(Peer::Client(_))
+            | Event::Unopened(Peer::Client(_))
+            | Event::Written(Peer::ChangeLog(_), _) => {}
         }
         self.hand_on_ends(now);
         let over = self.drained || (self.last_requests && self.desk.is_clear());
         if self.life.phase() == Phase::Draining && over {
+            self.life.move_to(Phase::Closing);
+            self.desk.effects.push(Effect::ReadLast);
+        }
+        if self.life.phase() == Phase::Closing && self.shut && self.desk.clients.count() == 0 {
             self.life.move_to(Phase::Stopped);
             self.desk.effects.push(Effect::Exit);
         }
@@ -301,15 +327,18 @@
                     self.client_closed(now, number);
                 }
                 for number in self.desk.clients.overdue(now) {
-                    self.client_closed(now, number);
+                    self.client_shut(now, number);
                 }
+                self.desk.clients.sweep(now, &mut self.desk.effects);
                 self.log.watch(now, &mut self.desk.effects);
                 let unix_ms = self.epoch.unix_ms(now);
                 let list = self.last_list.as_mut().and_then(|list| list.due(now, unix_ms));
                 self.desk.effects.extend(list.map(Effect::KeepList));
                 self.desk.effects.push(Effect::Arm(now.after(SWEEP), Due::Sweep));
             }
+            Due::SendBy(pull, serial) => self.desk.too_late(pull, serial),
             Due::LastRequests => self.last_requests = true,
+            Due::Lingered => self.desk.clients.sweep(now, &mut self.desk.effects),
             Due::Drained => {
                 for (dl, serial) in self.desk.all_owed() {
                     self.expire(now, dl, serial);
@@ -325,10 +354,17 @@
     }
 
     /// With more clients than this, idle ones are closed.
-    fn most_clients(&self) -> usize {
+    fn usual_clients(&self) -> usize {
         self.config.limits.sockets as usize / 2
     }
 
+    /// No more clients than this are kept: the rest is for nodes and for the program's own descriptors.
+    fn most_clients(&self) -> usize {
+        (self.config.limits.sockets as usize * 3 / 4)
+            .saturating_sub(OWN_DESCRIPTORS)
+            .max(self.usual_clients())
+    }
+
     /// A client that takes nothing for so long is gone.
     fn client_patience(&self) -> Nanos {
         let idle = self.config.connections.idle;
--- a/protocol/src/clients.rs
+++ b/protocol/src/clients.rs
@@ -9,6 +9,7 @@
 const MOST_TAG: u64 = u64::MAX;
 const MOST_PART: u64 = u32::MAX as u64;
 const MOST_GROUP: u64 = 255;
+const LONGEST_MARK: usize = 64;
 /// Sizes are told in KB; no object has a terabyte.
 const MOST_KB: f64 = 1e9;
 
@@ -33,6 +34,8 @@
     pub size_kb: Option<f64>,
     /// The tag of a copy that the client holds.
     pub held: Option<Hex>,
+    /// The mark by which a repeat of a deduped download is known, passed on unchanged.
+    pub mark: Option<String>,
     /// What a write brings.
     pub body: Vec<u8>,
 }
@@ -90,11 +93,17 @@
     value.parse().ok().filter(|kb| plain && *kb > 0.0 && *kb <= MOST_KB)
 }
 
+/// A mark as it may stand in a list of fields.
+fn mark(value: &str) -> Option<String> {
+    let plain = value.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.:/+".contains(&byte));
+    (plain && (1..=LONGEST_MARK).contains(&value.len())).then(|| value.to_string())
+}
+
 /// Reads a list of fields: each of those known once at most and of its form and range; others are passed over.
 fn request(content_type: &[u8], list: &[u8], body: Vec<u8>) -> Result<Request, String> {
     let text = |bytes| std::str::from_utf8(bytes).map_err(|_| "a field that is no UTF-8".to_string());
-    let names = ["req", "timeout", "resent", "subject", "block", "family", "need", "cached"];
-    let mut values: [Option<&str>; 8] = [None; 8];
+    let names = ["req", "timeout", "resent", "subject", "block", "family", "need", "cached", "opkey"];
+    let mut values: [Option<&str>; 9] = [None; 9];
     for pair in text(list)?.split(',') {
         let (name, value) = pair.split_once('=').ok_or_else(|| format!("'{pair}' is no field"))?;
         if let Some(at) = names.iter().position(|known| *known == name)
@@ -118,6 +127,7 @@
         group: number(5, MOST_GROUP)?,
         size_kb: values[6].map(|value| size(value).ok_or_else(|| wrong(6))).transpose()?,
         held: hex(7)?,
+        mark: values[8].map(|value| mark(value).ok_or_else(|| wrong(8))).transpose()?,
         body,
     })
 }
--- a/protocol/src/nodes.rs
+++ b/protocol/src/nodes.rs
@@ -28,6 +28,8 @@
     pub order: Pull,
     /// The tag of the client's copy.
     pub held: Option<Hex>,
+    /// The mark by which a repeat is known.
+    pub mark: Option<&'a str>,
     /// What a write brings.
     pub body: &'a [u8],
 }
@@ -82,6 +84,7 @@
     let flags: Vec<_> = flags.iter().filter(|flag| flag.0).map(|flag| flag.1).collect();
     let _ = if flags.is_empty() { Ok(()) } else { write!(line, ",flags={}", flags.join("+")) };
     let _ = fetch.held.map_or(Ok(()), |tag| write!(line, ",have={tag}"));
+    let _ = fetch.mark.map_or(Ok(()), |mark| write!(line, ",dedupe={mark}"));
     let _ = write!(line, " {}\r\n", fetch.body.len());
     bytes.extend_from_slice(line.as_bytes());
     bytes.extend_from_slice(fetch.body);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,8 @@
 //! [`crate::policy::Dispatcher`] as things happen, and implements [`Outbox`], through which the
 //! module sends. Nothing here decides anything.
 
+pub use crate::repeat::{DedupScope, Repeat, UNTOLD};
+
 /// A time of the adapter's clock, or a span, in whole nanoseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct Nanos(pub u64);
@@ -70,39 +72,6 @@
     x ^ (x >> 31)
 }
 
-/// Whether a download may run again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Repeat {
-    /// It may run any number of times.
-    Retriable,
-    /// A repeat is known and dropped within a group of caches, for a time from the first pull.
-    Deduped { scope: DedupScope, window: Nanos },
-    /// It must never run twice.
-    NonRetriable,
-}
-
-/// Which caches know a deduped download's repeats.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DedupScope {
-    /// All of them.
-    All,
-    /// Those of one zone.
-    Zone,
-    /// Those of one cell.
-    Cell,
-}
-
-impl DedupScope {
-    /// Whether a repeat at `b` is known where the first went to `a`.
-    pub fn holds_both(self, a: &NodeEntry, b: &NodeEntry) -> bool {
-        match self {
-            DedupScope::All => true,
-            DedupScope::Zone => a.zone == b.zone,
-            DedupScope::Cell => a.cell == b.cell,
-        }
-    }
-}
-
 /// What the settings say of a content type.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ContentType {
@@ -232,7 +201,7 @@
     pub zone: ZoneId,
     /// Its machine kind.
     pub kind: u32,
-    /// Its cell, for deduped content types.
+    /// Its cell, for deduped content types; [`UNTOLD`] where it is not told, as for the zone.
     pub cell: u32,
     /// Whether it takes work.
     pub readiness: Readiness,
@@ -358,6 +327,8 @@
     pub rank: u8,
     /// The oldest copy that will do; `None` for the content type's own limit.
     pub max_age: Option<Nanos>,
+    /// Not to be sent after this time, wherever it waits; then it ends as not sent.
+    pub send_by: Option<Nanos>,
     /// Join a fill that is under way.
     pub join: bool,
     /// The source gives only what it holds.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod policy;
 pub mod purges;
 pub mod recent;
+pub mod repeat;
 pub mod ring;
 pub mod size;
 pub mod spare;
--- a/src/policy/ordinary.rs
+++ b/src/policy/ordinary.rs
@@ -98,6 +98,7 @@
             try_for: None,
             rank,
             max_age: self.max_age(now, &dl.d),
+            send_by: dl.may_have_run.and_then(|(first, _)| dl.under.repeat().send_by(first)),
             join: self.s.joins && dl.pulls.len() < 2,
             held_only: by_cache || (by_parent && !self.may_fetch(now, &dl, dl.keep.fill_rank)),
             no_parent_copy: rank == 3 && by_parent,
--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -43,8 +43,9 @@
         match dl.under.repeat() {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
-            Repeat::Deduped { window, .. } if now.since(sent) >= window => false,
-            Repeat::Deduped { scope, .. } => scope.holds_both(&a.e, &b.e),
+            rule @ Repeat::Deduped { scope, .. } => {
+                rule.send_by(sent) > Some(now) && scope.holds_both(&a.e, &b.e)
+            }
         }
     }
 
