Socket tests of rare moments; what is due waits for one turn in which nothing is read

Eleven tests over loopback sockets that stop the program where two things are to be found at once (a stop is waited for in /proc, as an event that comes before it takes effect is found apart from the next: seen as a flaky verdict, traced by log).

Now any bytes read put off what is due, 16 turns at most, and only where something is due. Rig moved to a file of its own.

--- a/dispatcher/src/event_loop/connections.rs
+++ b/dispatcher/src/event_loop/connections.rs
@@ -128,7 +128,7 @@
         self.reduce(Event::Closed(peer));
     }
 
-    /// Carries out what a connection is ready for; tells whether more bytes may wait behind those read.
+    /// Carries out what a connection is ready for; tells whether bytes were read, behind which more may wait.
     pub(super) fn ready(&mut self, peer: Peer, readiness: Readiness) -> bool {
         let Some(connection) = self.connections.get_mut(&peer) else { return false };
         if connection.connecting {
@@ -153,11 +153,11 @@
         (readiness.readable || readiness.error) && self.read(peer)
     }
 
-    /// Reads once; tells whether all the room for it was taken: what is left shows in the next turn.
+    /// Reads once; tells whether bytes came. What is behind them shows in the next turn.
     fn read(&mut self, peer: Peer) -> bool {
         let Some(connection) = self.connections.get_mut(&peer) else { return false };
         let mut scratch = std::mem::take(&mut self.scratch);
-        let full = match (&*connection.stream).read(&mut scratch) {
+        let came = match (&*connection.stream).read(&mut scratch) {
             // A client may still read, and is to hear what becomes of what it asked for.
             Ok(0) if matches!(peer, Peer::Client(_)) => {
                 self.reduce(Event::Ended(peer));
@@ -169,7 +169,7 @@
             }
             Ok(count) => {
                 self.reduce(Event::Received(peer, &scratch[..count]));
-                count == scratch.len()
+                true
             }
             Err(fault) if matches!(fault.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => false,
             Err(_) => {
@@ -178,7 +178,7 @@
             }
         };
         self.scratch = scratch;
-        full
+        came
     }
 
     /// A write has failed: what the other side had sent before is told first. An answer among it must not count as
--- a/dispatcher/src/event_loop/mod.rs
+++ b/dispatcher/src/event_loop/mod.rs
@@ -37,7 +37,7 @@
 const ACCEPTED_AT_ONCE: usize = 64;
 /// How often it is looked whether the operator's file has changed, where versions of rules come with it.
 const WATCHED: Duration = Duration::from_secs(1);
-/// What is due waits for so many turns at most while connections have more to tell than was read of them.
+/// What is due waits for so many turns at most while bytes still come.
 const TURNS_FIRST: u32 = 16;
 /// Without a descriptor for a client that waits, the listener rests for so long.
 const REST: Duration = Duration::from_millis(20);
@@ -214,7 +214,8 @@
             let copy = told.copy.as_ref().map(|(facts, body)| (*facts, body.as_slice()));
             carrier.reduce(if told.off { Event::DiskOff } else { Event::CopyRead(told.ticket, copy) });
         }
-        put_off = if more && put_off < TURNS_FIRST { put_off + 1 } else { 0 };
+        let is_due = !inbox.due.is_empty();
+        put_off = if more && is_due && put_off < TURNS_FIRST { put_off + 1 } else { 0 };
         if put_off == 0 {
             for due in std::mem::take(&mut inbox.due) {
                 carrier.reduce(Event::Due(due));
--- /dev/null
+++ b/dispatcher/tests/dispatcher/rig.rs
@@ -0,0 +1,182 @@
+//! The program itself with small stand-ins of nodes and the change log around it, on loopback sockets.
+
+use crate::common::{CONFIG, answered, short};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing here takes nearly as long; it only ends a test that hangs.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// A download so large that no stand-in counts as slow, however busy the machine is.
+pub const UNHURRIED: &str = ",need=25000,timeout=15000";
+
+/// What a stand-in of a node was sent, and its way to answer.
+pub struct Asked {
+    pub node: &'static str,
+    pub line: String,
+    pub back: TcpStream,
+}
+
+/// A node: tells each line that it is sent, and answers nothing by itself.
+pub fn stand_in(node: &'static str, asked: Sender<Asked>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let asked = asked.clone();
+            thread::spawn(move || {
+                let mut lines = BufReader::new(stream.try_clone().expect("a second handle")).lines();
+                while let Some(Ok(line)) = lines.next() {
+                    if line.starts_with("fetch") {
+                        lines.next();
+                    }
+                    let back = stream.try_clone().expect("a second handle");
+                    if asked.send(Asked { node, line, back }).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A program that serves, with stand-ins all around.
+pub struct Rig {
+    pub program: Child,
+    pub address: String,
+    pub asked: Receiver<Asked>,
+    pub log: TcpStream,
+    pub config: PathBuf,
+}
+
+impl Rig {
+    pub fn start() -> Rig {
+        Rig::limited("true", Stdio::null())
+    }
+
+    /// The same after a command of the shell has set limits.
+    pub fn limited(limits: &str, errors: Stdio) -> Rig {
+        let (tell, asked) = channel();
+        let log = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        // An address of its own: a port that was free a moment ago may be another test's by now.
+        static RIGS: AtomicU32 = AtomicU32::new(0);
+        let rig = RIGS.fetch_add(1, Ordering::Relaxed);
+        let address = format!("127.{}.{}.1:5050", 1 + std::process::id() % 250, rig);
+        let mut config = CONFIG.replace("127.0.0.1:5050", &address);
+        config = config.replace("127.0.0.1:2379", &log.local_addr().expect("an address").to_string());
+        for expiry in ["5.0", "3.0"] {
+            config = config.replace(&format!("\"deadline_s\": {expiry}"), "\"deadline_s\": 15.0");
+        }
+        for (node, port) in [("s-a", 6001), ("s-b", 6002), ("p-1", 6003), ("p-2", 6004), ("o-1", 6005)] {
+            config = config.replace(&format!("127.0.0.1:{port}"), &stand_in(node, tell.clone()));
+        }
+        let path = std::env::temp_dir().join(format!("copperroute-{}.json", address.replace(':', "-")));
+        std::fs::write(&path, config).expect("a temporary file");
+        let serve = format!("{limits}; exec \"$0\" serve --config \"$1\"");
+        let program = Command::new("sh")
+            .args(["-c", &serve, env!("CARGO_BIN_EXE_copperroute")])
+            .arg(&path)
+            .stderr(errors)
+            .spawn()
+            .expect("the program starts");
+        // It connects to the change log once it has read its configuration and listens.
+        let log = followed(&log);
+        Rig { program, address, asked, log, config: path }
+    }
+
+    pub fn client(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.address).expect("the program listens");
+        stream.set_read_timeout(Some(LONG)).expect("a timeout");
+        stream
+    }
+
+    pub fn asked(&self) -> Asked {
+        self.asked.recv_timeout(LONG).expect("a node is asked")
+    }
+
+    /// The change log tells something.
+    pub fn tell(&mut self, line: &str) {
+        self.log.write_all(line.as_bytes()).expect("the program reads");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.program.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+        // A stop takes effect a moment later: what comes before would be found apart from what comes after.
+        let stat = format!("/proc/{}/stat", self.program.id());
+        while name == "STOP" && !std::fs::read_to_string(&stat).expect("it runs").contains(") T ") {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// A stand-in of the change log that is followed from its first event.
+pub fn followed(log: &TcpListener) -> TcpStream {
+    log.set_nonblocking(true).expect("a listener");
+    let until = Instant::now() + LONG;
+    let mut stream = loop {
+        match log.accept() {
+            Ok((stream, _)) => break stream,
+            Err(_) => assert!(Instant::now() < until, "the program does not follow the change log"),
+        }
+        thread::sleep(Duration::from_millis(2));
+    };
+    let mut since = [0; 8];
+    stream.read_exact(&mut since).expect("a line");
+    assert_eq!(&since, b"since 1\n");
+    stream.write_all(b"1\n").expect("the program reads");
+    stream
+}
+
+/// A node's answer and what follows its line.
+pub fn told(answer: &str, rest: &[u8]) -> Vec<u8> {
+    let mut bytes = answered(answer).into_bytes();
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(rest);
+    bytes
+}
+
+/// An answer's four bulk strings.
+pub fn items(reader: &mut impl BufRead) -> Vec<Vec<u8>> {
+    let mut line = String::new();
+    reader.read_line(&mut line).expect("an answer");
+    assert_eq!(line, "*4\r\n");
+    let mut item = || {
+        line.clear();
+        reader.read_line(&mut line).expect("a length");
+        let length: usize = line.trim_end()[1..].parse().expect("a length");
+        let mut item = vec![0; length + 2];
+        reader.read_exact(&mut item).expect("an item");
+        item.truncate(length);
+        item
+    };
+    (0..4).map(|_| item()).collect()
+}
+
+/// An answer as a line.
+pub fn answer(stream: &TcpStream) -> String {
+    let words: Vec<_> =
+        items(&mut BufReader::new(stream)).iter().map(|w| w.escape_ascii().to_string()).collect();
+    words.join(" ").trim_end().to_string() + "\n"
+}
+
+/// Who is asked depends on hashes that are the same in every run; what varies from run to run is the wait.
+pub fn shown(asked: &Asked) -> String {
+    let wait = asked.line.split("ttl=").nth(1).map_or("", |rest| rest.split([',', ' ']).next().unwrap_or(""));
+    short(&format!("{}: {}\n", asked.node, asked.line.replace(&format!("ttl={wait}"), "ttl=T")))
+}
