--- a/dispatcher/src/desk/list.rs
+++ b/dispatcher/src/desk/list.rs
@@ -74,6 +74,9 @@
         for pull in pulls {
             self.end(pull, Outcome::NotSent, None);
         }
-        freed.into_iter().for_each(|connection| self.hand_over(connection));
+        for connection in freed {
+            self.hand_over(connection);
+            self.nodes.close_if_spent(connection, &mut self.effects);
+        }
     }
 }
--- a/dispatcher/src/nodes/list.rs
+++ b/dispatcher/src/nodes/list.rs
@@ -28,6 +28,7 @@
         for other in &moved {
             self.pools.get_mut(other.0).into_iter().for_each(|other| other.address = None);
             self.retire(*other, now, effects);
+            self.full.push((*other, now.after(TOLD_AFTER)));
         }
         let Some(known) = self.pools.get_mut(node.0) else {
             self.pools.put(node.0, pool);
--- a/dispatcher/src/nodes/pulls.rs
+++ b/dispatcher/src/nodes/pulls.rs
@@ -3,8 +3,8 @@
 use super::*;
 
 impl Nodes {
-    /// Takes back the pulls, to any node, that are meant and of which nothing has left. Tells also on which connections
-    /// others may have to be handed over anew.
+    /// Takes back the pulls, to any node, that are meant and of which nothing has left. Tells also from which connections:
+    /// others may have to be handed over anew there, and one that takes no further pulls may be spent.
     pub fn take_back(
         &mut self,
         meant: impl Fn(&PullRef) -> bool,
@@ -12,11 +12,11 @@
     ) -> (Vec<PullRef>, Vec<u32>) {
         let (mut back, mut freed): (Vec<PullRef>, Vec<u32>) = Default::default();
         for (number, connection) in &mut self.connections {
+            let before = back.len();
             back.extend(connection.waiting.iter().filter(|pull| meant(pull)));
             connection.waiting.retain(|pull| !meant(pull));
-            let unsaid = connection.unsay(*number, &meant, effects);
-            freed.extend((!unsaid.is_empty()).then_some(*number));
-            back.extend(unsaid);
+            back.extend(connection.unsay(*number, &meant, effects));
+            freed.extend((back.len() > before).then_some(*number));
         }
         back.sort_by_key(|pull| (pull.dl.0, pull.number));
         freed.sort();
--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -14,3 +14,4 @@
 mod rules_text;
 mod run_line;
 mod storm;
+mod unsent;
--- /dev/null
+++ b/dispatcher/tests/dispatcher/unsent.rs
@@ -0,0 +1,248 @@
+//! Events in, effects out: what was ordered and has not left is never sent once it must not be, without sockets.
+
+use crate::common::{CONFIG, LOOPBACK, Play, message, request};
+use copperroute::interface::Nanos;
+use copperroute_dispatcher::effects::{Event, Peer};
+use copperroute_dispatcher::lingering::Lingering;
+use expect_test::expect;
+
+/// A line of the change log on a cache.
+fn listed(seq: u32, id: &str, port: u32, state: &str) -> String {
+    format!(
+        "{{\"seq\":{seq},\"fleet\":{{\"servers\":[{{\"id\":\"{id}\",\"addr\":\"127.0.0.1:{port}\",\"zone\":\"east\",\
+         \"kind\":\"box\",\"state\":\"{state}\",\"weight\":20}}]}}}}"
+    )
+}
+
+/// A download whose pull was given to a connection that takes nothing.
+fn stuck(config: &str) -> Play {
+    let mut play = Play::of(config);
+    play.calm = false;
+    play.client(&request(7, "image", "9b1f", ",need=100,family=17"));
+    play.event(Event::Connected(Peer::Node(1)));
+    play.take();
+    play
+}
+
+/// Where pulls are not called off, one that waited for its connection was sent though its client had left.
+#[test]
+fn who_leaves_while_a_pull_waits_for_its_connection_is_not_sent_for() {
+    for cancel in ["true", "false"] {
+        for leave in 0..3 {
+            let mut play = Play::of(&CONFIG.replace("\"cancel\": true", &format!("\"cancel\": {cancel}")));
+            play.calm = false;
+            play.client(&request(7, "image", "9b1f", ",need=100"));
+            match leave {
+                0 => play.client(&message("ABORT", 7)),
+                1 => play.event(Event::Ended(Peer::Client(1))),
+                _ => play.event(Event::Closed(Peer::Client(1))),
+            }
+            play.event(Event::Connected(Peer::Node(1)));
+            play.pass(8_000);
+            let trace = play.take();
+            assert!(!trace.contains("fetch"), "cancel {cancel}, {leave}: {trace}");
+        }
+    }
+}
+
+/// The same for a pull that was given to its connection: none of it had left.
+#[test]
+fn who_leaves_while_a_pull_waits_to_leave_is_not_sent_for() {
+    let mut play = stuck(CONFIG);
+    play.client(&message("ABORT", 7));
+    expect![[r#"
+        retract Node(1) from 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+/// The bytes were kept for a node that takes nothing, and left for it whenever it took them, whatever was told meanwhile.
+#[test]
+fn what_has_not_begun_to_leave_for_a_node_that_drains_goes_elsewhere() {
+    let mut play = stuck(CONFIG);
+    play.log(1, &listed(2, "s-a", 6001, "leaving"));
+    expect![[r#"
+        retract Node(1) from 0
+        close Node(1)
+        connect Node(2) 127.0.0.1:6002
+    "#]]
+    .assert_eq(&play.take());
+}
+
+/// Of what has begun to leave the rest follows, as it can't be unsaid.
+#[test]
+fn what_has_begun_to_leave_is_sent_whole() {
+    let mut play = stuck(CONFIG);
+    play.event(Event::Written(Peer::Node(1), 10));
+    play.log(1, &listed(2, "s-a", 6001, "leaving"));
+    assert_eq!(play.take(), "");
+    play.event(Event::Written(Peer::Node(1), 78));
+    play.node("9b1f ok why=local 4");
+    expect![[r#"
+        Client(1) <- *4 $1 7 $2 OK $0  $4 body
+        close Node(1)
+    "#]]
+    .assert_eq(&play.take());
+}
+
+/// Behind it others wait in the same bytes: they are said anew, and an abort among them too.
+#[test]
+fn what_was_behind_unsaid_bytes_is_said_anew() {
+    let mut play = Play::new();
+    play.event(Event::Accepted(2, LOOPBACK));
+    // All on one connection: others are turned away.
+    for tag in 7..11 {
+        play.client(&request(tag, "image", &format!("9b{tag:02}"), ",need=100"));
+    }
+    play.calm = false;
+    play.take();
+    for tag in 11..15 {
+        let bytes = request(tag, "image", &format!("9b{tag:02}"), ",need=100");
+        play.event(Event::Received(Peer::Client(2), &bytes));
+    }
+    let first = play.take();
+    // Unsent on connection 1: the pull of 9b11, then the abort of 9b07, which was sent before.
+    play.client(&message("ABORT", 7));
+    play.event(Event::Received(Peer::Client(2), &message("ABORT", 11)));
+    let trace = first + &play.take();
+    let of_one: Vec<_> = trace.lines().filter(|line| line.contains("Node(1)")).collect();
+    expect![[r#"
+        Node(1) <- fetch 9b11 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        Node(1) <- abort 9b07
+        retract Node(1) from 78
+        Node(1) <- abort 9b07"#]]
+    .assert_eq(&of_one.join("\n"));
+}
+
+/// A purge is heard while the pull waits to leave: it asks for a newer copy.
+#[test]
+fn what_has_not_begun_to_leave_when_a_purge_is_heard_asks_for_a_newer_copy() {
+    let mut play = stuck(CONFIG);
+    play.pass(100);
+    play.log(1, r#"{"seq":2,"invalidate":{"bucket":17,"time":1764576000080}}"#);
+    expect![[r#"
+        retract Node(1) from 0
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1400,maxage=20 0
+    "#]]
+    .assert_eq(&play.take());
+}
+
+/// A node at the address of another: what waits for the other would reach the new one.
+#[test]
+fn what_waits_for_an_address_that_is_anothers_now_goes_elsewhere() {
+    let mut play = Play::new();
+    play.calm = false;
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.take();
+    play.log(1, &listed(2, "s-new", 6001, "active"));
+    play.event(Event::Connected(Peer::Node(1)));
+    let trace = play.take();
+    assert!(!trace.contains("Node(1) <- fetch") && trace.contains("connect Node(2)"), "{trace}");
+}
+
+/// A node is listed with a new start while its connection comes up: the pull for the one before is ordered anew.
+#[test]
+fn what_waits_for_a_node_that_starts_anew_is_ordered_anew() {
+    let mut play = Play::new();
+    play.calm = false;
+    play.client(&request(7, "image", "9b1f", ",need=100"));
+    play.take();
+    play.log(1, &listed(2, "s-a", 6011, "active"));
+    play.event(Event::Connected(Peer::Node(1)));
+    let trace = play.take();
+    assert!(!trace.contains("Node(1) <- fetch") && trace.contains("close Node(1)"), "{trace}");
+}
+
+/// Out of descriptors, the node that could not be connected to counted as dead and was set aside.
+#[test]
+fn a_connection_that_lacks_a_descriptor_is_held_against_nobody() {
+    let mut play = Play::new();
+    play.calm = false;
+    for tag in 7..12 {
+        play.client(&request(tag, "image", &format!("9b{tag:02}"), ",need=100"));
+        // What comes of one that can't be had may be another.
+        loop {
+            let trace = play.take();
+            let numbers =
+                trace.lines().filter_map(|line| line.strip_prefix("connect Node(")?.split(')').next());
+            let numbers: Vec<u32> = numbers.filter_map(|number| number.parse().ok()).collect();
+            if numbers.is_empty() {
+                break;
+            }
+            numbers.into_iter().for_each(|number| play.event(Event::Unopened(Peer::Node(number))));
+        }
+    }
+    play.calm = true;
+    play.client(&request(20, "image", "9b20", ",need=100"));
+    let trace = play.take();
+    assert!(trace.contains("127.0.0.1:6001"), "{trace}");
+}
+
+/// A second answer to the first pull of a post came for that of the second, on the same connection: it counted as turned
+/// away, and a third was sent though the second may have run.
+#[test]
+fn a_second_answer_does_not_end_a_later_pull_of_what_may_run_once() {
+    let config = CONFIG.replace("\"pass_through_ok\": true", "\"pass_through_ok\": false");
+    for twice in [false, true] {
+        let mut play = Play::of(&config);
+        play.client(&request(7, "post", "9b1f", ",need=100"));
+        play.node("9b1f refused why=turned_away 0");
+        if twice {
+            play.event(Event::Received(Peer::Node(1), b"9b1f000000000000 refused why=turned_away 0\r\n\r\n"));
+        }
+        let trace = play.take();
+        let carried: Vec<_> = trace.lines().filter(|line| line.contains("fetch")).collect();
+        let connections: Vec<_> = carried.iter().map(|line| line.split(' ').next()).collect();
+        let mut distinct = connections.clone();
+        distinct.dedup();
+        assert!(carried.len() >= 2 && distinct.len() == connections.len(), "twice {twice}: {trace}");
+        assert_eq!(carried.len(), 2, "twice {twice}: {trace}");
+    }
+}
+
+/// A deduped download broke off and goes again: what waits for its connection when its repeats are known no longer is not
+/// sent, however late the connection comes up.
+#[test]
+fn a_repeat_that_waits_past_its_time_is_not_sent() {
+    let keyed = r#"{"name": "image", "effect": "keyed", "window_s": 0.3, "dedup_scope": "all","#;
+    let config = CONFIG.replace(r#"{"name": "image", "effect": "safe","#, keyed);
+    for (wait, sent) in [(250, true), (290, false), (350, false)] {
+        let mut play = Play::of(&config);
+        play.client(&request(7, "image", "9b1f", ",need=100,opkey=cbd3d4163e11037e"));
+        let trace = play.take();
+        assert!(trace.contains(",dedupe=cbd3d4163e11037e 0"), "{trace}");
+        play.calm = false;
+        play.event(Event::Closed(Peer::Node(1)));
+        play.pass(wait);
+        play.event(Event::Connected(Peer::Node(2)));
+        let trace = play.take();
+        assert_eq!(trace.contains("Node(2) <- fetch"), sent, "{wait} ms: {trace}");
+        assert!(sent || trace.contains("BUSY"), "{wait} ms: {trace}");
+    }
+}
+
+#[test]
+fn health_is_up_only_where_a_node_could_be_asked() {
+    let mut play = Play::new();
+    play.client(&message("HEALTH", 1));
+    play.log(1, r#"{"seq":2,"fleet":{"full":true,"servers":[]}}"#);
+    play.client(&message("HEALTH", 2));
+    play.log(1, &listed(3, "s-a", 6001, "active"));
+    play.client(&message("HEALTH", 3));
+    let trace = play.take();
+    let words: Vec<_> = trace.lines().filter_map(|line| line.split(' ').nth(6)).collect();
+    assert_eq!(words, ["UP", "DOWN", "UP"], "{trace}");
+}
+
+#[test]
+fn a_lingering_close_is_bounded_in_time_bytes_and_number() {
+    let (now, later) = (Nanos(5_000_000_000), Nanos(6_000_000_000));
+    let mut lingering = Lingering::default();
+    lingering.limit(64);
+    let closed: Vec<_> = (1..=6).filter_map(|number| lingering.begin(now, number)).collect();
+    // Four linger, whatever the limit of descriptors; then the oldest makes room.
+    assert_eq!((closed, lingering.count()), (vec![1, 2], 4));
+    assert!(!lingering.came(3, 500_000) && lingering.came(3, 100_000) && !lingering.came(9, 1 << 30));
+    lingering.ended(4);
+    assert_eq!((lingering.over(now), lingering.over(later), lingering.count()), (vec![], vec![5, 6], 0));
+}
