Bound what dispatchers save for a cold node by the sum of all of them

Seen: of hundreds of dispatchers each saved one whole pull for a cold node (src/cold.rs Part::spend, work_s.max(...)); were all to come at once, that is one call each, whatever N. A restarted dispatcher began with a second's part of a node that its forerunner may just have used up (BEGINS_WITH_S). Further pulls at a node that was let to look only, or that had turned cold since, were not counted (policy/ordinary.rs, missed_at and rides).

Price, stated: where each asks rarely less of a cold node is used (unit figures: 100 dispatchers that just suffice 0.83 to 0.49, 300 0.94 to 0.42 under load). The expectations in cold.rs, rules.rs and storms.rs that print these figures moved so; the storm there is over at 35.8 s as before at 34.8 s.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -3,17 +3,22 @@
 //! See docs/cold-start.md.
 //!
 //! A part grows with time and is spent by pulls. Of hundreds of dispatchers one's part of a second is far less than a
-//! pull: then a pull is sent with the chance that the part has grown to, and that is spent, sent or not. What is not
-//! asked for is saved up to one pull, so that all together send what the node can do however thin the traffic of each
-//! is; a part that is forgotten after some seconds leaves half of the node unused (measured, docs/cold-start.md).
+//! pull: then a pull is sent with the chance that the part has grown to, and that is spent, sent or not.
+//!
+//! The sum, stated: in any window of the rule's length all together may send what grows in it and what was saved before
+//! it. What is saved is bounded so that this is `WORST` of the N calls that the rule bears in that window, were every
+//! dispatcher to come at once with all that it may have saved; chance puts roots of N around that, and the bound that is
+//! kept is N + 2 roots of N + 2 (`tests/module/cold_sum.rs`: 4 to 300 dispatchers, uneven traffic, silence and then all
+//! at once, restarts). Before, one whole pull was saved by each: of 300 far more than N.
 
 use crate::interface::Nanos;
 
 /// One pull that is more than this part of what the node can do in the rule's time is not for a cold node.
 const MOST: f64 = 0.25;
-/// A node that has just started has so much of a second saved: what was saved before is worth nothing to it, and
-/// nobody shall have more than a fraction of the rule's time at once.
+/// A node that has just started has so many seconds' growth saved, if so much may be.
 const BEGINS_WITH_S: f64 = 1.0;
+/// What all together send in the rule's time at the worst, as a part of what the rule bears.
+const WORST: f64 = 0.75;
 
 /// No wait is told that is longer.
 const LONGEST_S: f64 = 60.0;
@@ -27,29 +32,62 @@
     at: Nanos,
 }
 
+/// What all dispatchers together may send a cold node.
+#[derive(Debug, Clone, Copy)]
+pub struct Room {
+    /// Seconds of sending a second that they send it.
+    bearable: f64,
+    /// How many times as much the rule bears.
+    rule: f64,
+    /// The rule sums over this.
+    window: Nanos,
+    /// How many dispatchers share it.
+    sharers: u32,
+}
+
+impl Room {
+    /// So many seconds of sending a second, of which the rule bears so many times as much over `window`, for so many.
+    pub fn new(bearable: f64, rule: f64, window: Nanos, sharers: u32) -> Room {
+        Room { bearable, rule, window, sharers }
+    }
+
+    /// What grows for one dispatcher in a second.
+    fn share(&self) -> f64 {
+        self.bearable / f64::from(self.sharers.max(1))
+    }
+
+    /// For how long it may be saved, in seconds.
+    fn saved_for_s(&self) -> f64 {
+        self.window.secs() * (WORST * self.rule - 1.0).max(0.0)
+    }
+}
+
 impl Part {
-    /// The chance with which a pull of so much work is sent now, which is spent, sent or not; the node can do `bearable`
-    /// seconds of sending a second for so many dispatchers, and the rule sums over `window`.
-    pub fn spend(&mut self, now: Nanos, bearable: f64, sharers: u32, window: Nanos, work_s: f64) -> f64 {
-        if work_s > MOST * bearable * window.secs() {
+    /// The part of a node that had started before this dispatcher did, at this time: whoever was in its place before may
+    /// just have spent all that it had.
+    pub fn begun(at: Nanos) -> Part {
+        Part { saved_s: 0.0, at }
+    }
+
+    /// The chance with which a pull of so much work is sent now, which is spent, sent or not.
+    pub fn spend(&mut self, now: Nanos, room: &Room, work_s: f64) -> f64 {
+        if work_s > MOST * room.bearable * room.window.secs() {
             return 0.0;
         }
-        let share = bearable / f64::from(sharers.max(1));
-        let grown = match self.at {
-            Nanos::ZERO => share * BEGINS_WITH_S,
-            at => self.saved_s + share * now.since(at).secs(),
+        let grown_s = match self.at {
+            Nanos::ZERO => BEGINS_WITH_S,
+            at => now.since(at).secs(),
         };
         self.at = now;
-        self.saved_s = grown.min(work_s.max(share * window.secs()));
+        self.saved_s = (self.saved_s + room.share() * grown_s).min(room.share() * room.saved_for_s());
         let chance = (self.saved_s / work_s.max(1e-6)).clamp(0.0, 1.0);
         self.saved_s -= chance * work_s;
         chance
     }
 
     /// How long it takes until a pull of so much work has grown again, at what the dispatcher may send a second.
-    pub fn until(&self, bearable: f64, sharers: u32, work_s: f64) -> Nanos {
-        let share = bearable / f64::from(sharers.max(1));
-        Nanos::from_secs(((work_s - self.saved_s) / share.max(1e-6)).clamp(0.0, LONGEST_S))
+    pub fn until(&self, room: &Room, work_s: f64) -> Nanos {
+        Nanos::from_secs(((work_s - self.saved_s) / room.share().max(1e-6)).clamp(0.0, LONGEST_S))
     }
 }
 
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -113,6 +113,8 @@
     parents: Vec<NodeId>,
     origin: Option<NodeId>,
     sizes: Sizes,
+    /// When this dispatcher began.
+    began: Nanos,
 }
 
 impl Nodes {
@@ -128,9 +130,15 @@
             parents,
             origin: None,
             sizes,
+            began: Nanos::ZERO,
         }
     }
 
+    /// This dispatcher begins.
+    pub fn begin(&mut self, now: Nanos) {
+        self.began = now;
+    }
+
     /// What a node can do once it is warm, in transfers at once. Until its like have shown anything, a warm one is
     /// taken to be able to do a little more than it is doing for so many as this.
     pub fn can(&self, n: &Node, sharers: u32) -> f64 {
@@ -210,7 +218,13 @@
         for e in entries {
             match self.get_mut(e.node) {
                 Some(n) => n.relist(e),
-                None => self.slots.put(e.node.0, new(e)),
+                None => {
+                    let mut node = new(e);
+                    if e.started <= self.began {
+                        node.part = Part::begun(self.began);
+                    }
+                    self.slots.put(e.node.0, node);
+                }
             }
         }
         self.sort();
--- a/src/policy/ends.rs
+++ b/src/policy/ends.rs
@@ -31,8 +31,7 @@
         // An error may lie in what is asked for: it counts once another node could make use of that. Guards
         // against clients that ask for nonsense; harms where all nodes err, as then none is left out.
         let erred = (end.outcome == Failed && end.remark == Remark::None).then_some(sent.node);
-        let could = worked || end.outcome == NotHeld;
-        let blamed = if could { dl.erred_at.take() } else { None };
+        let blamed = if worked || end.outcome == NotHeld { dl.erred_at.take() } else { None };
         dl.erred_at = erred.or(dl.erred_at);
         dl.missed_at = (missed || lacks).then_some(sent.node);
         // Where fills can't be shared, one under way for another download is waited for, not made twice.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,10 +1,9 @@
-//! Every decision of a dispatcher. An adapter makes one [`Dispatcher`] from the settings, calls `start`,
-//! then a method for each thing that happens: `nodes_listed`, `nodes_changed`, `download`, `first_byte`,
-//! `pull_ended`, `client_gone`, `timer`, `object_purged`, `group_purged`. The module answers through the
-//! `Outbox` it is handed, before the call returns. Words and trait: `src/interface.rs`.
+//! Every decision of a dispatcher. An adapter makes one [`Dispatcher`] from the settings, calls `start`, then a
+//! method for each thing that happens. The module answers through the `Outbox` it is handed, before the call
+//! returns. Words and trait: `src/interface.rs`.
 
 use crate::chance::Chance;
-use crate::cold::one_place;
+use crate::cold::{Room, one_place};
 use crate::interface::*;
 use crate::link::Link;
 use crate::nodes::{Node, Nodes};
@@ -114,7 +113,8 @@
     }
 
     /// The dispatcher comes up.
-    pub fn start(&mut self, _now: Nanos, out: &mut impl Outbox) {
+    pub fn start(&mut self, now: Nanos, out: &mut impl Outbox) {
+        self.nodes.begin(now);
         if self.s.list_is_asked {
             out.follow();
         }
--- a/src/policy/ordinary.rs
+++ b/src/policy/ordinary.rs
@@ -73,6 +73,7 @@
         self.again = Nanos::ZERO;
         let chosen = match dl.missed_at.filter(|id| self.nodes.get(*id).is_some_and(|n| n.listed)) {
             _ if self.row(&dl.d).told.uncacheable => self.runs_at(now, &dl),
+            Some(node) if !self.bears(now, node, self.row(&dl.d).mean_work_s) => None,
             Some(node) if rides == Some(node) && self.open(now, node) => Some((node, node)),
             Some(node) if self.too_full(now, &dl, node) => None,
             Some(node) => self.filler(now, &dl).map(|from| (node, from)),
--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -3,19 +3,18 @@
 use super::*;
 
 impl Dispatcher {
-    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each
-    /// keeps to its own part of what the node can do (`src/cold.rs`), so they need no agreement and sizes may
-    /// be rough. All send what the node can do, with a variance of that times a pull's work: for a few pulls'
-    /// worth three deviations lie under the limit. One download that is a large part is not for a cold node.
+    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each keeps to
+    /// its own part (`src/cold.rs` states the sum); one download that is a large part is not for a cold node.
     pub(super) fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
         let (cold, sharers) = self.cold_start(id);
         if !self.nodes.is_cold(now, id, cold.warm_after) {
             return self.nodes.get(id).is_some();
         }
         let bearable = self.nodes.get(id).map_or(0.0, |n| self.bearable(n, now));
+        let room = Room::new(bearable, cold.fall_multiple.max(1.0 / COLD_LOAD), self.s.fall_for, sharers);
         let Some(n) = self.nodes.get_mut(id) else { return false };
-        let chance = n.part.spend(now, bearable, sharers, self.s.fall_for, work_s);
-        self.again = n.part.until(bearable, sharers, work_s);
+        let chance = n.part.spend(now, &room, work_s);
+        self.again = n.part.until(&room, work_s);
         chance > 0.0 && self.chance.share() < chance
     }
 
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -2,7 +2,7 @@
 
 use crate::common::*;
 use copperroute::chance::Chance;
-use copperroute::cold::{Part, one_place};
+use copperroute::cold::{Part, Room, one_place};
 use copperroute::interface::*;
 use copperroute::spare::Origin;
 use copperroute::state::TypeRow;
@@ -11,6 +11,11 @@
 
 const WINDOW: Nanos = Nanos(3_000_000_000);
 
+/// What a node bears of which the rule bears two and a half times as much.
+fn room(bearable: f64, sharers: u32) -> Room {
+    Room::new(bearable, 2.5, WINDOW, sharers)
+}
+
 /// Work that so many dispatchers send a cold node that can do 2.4 s of it a second, each asked so often, in a minute.
 fn sent_by(dispatchers: u32, every_ms: u64, work_s: f64) -> f64 {
     let mut chance = Chance::new(u64::from(dispatchers));
@@ -19,7 +24,7 @@
         let mut part = Part::default();
         let mut at = (chance.share() * every_ms as f64) as u64;
         while at < 60_000 {
-            let send = part.spend(ms(1 + at), 2.4, dispatchers, WINDOW, work_s);
+            let send = part.spend(ms(1 + at), &room(2.4, dispatchers), work_s);
             sent += if chance.share() < send { work_s } else { 0.0 };
             at += (every_ms as f64 * (0.5 + chance.share())) as u64;
         }
@@ -38,9 +43,9 @@
     expect![[r#"
         1: 1.04 of it, 1.01 where it just suffices
         10: 1.00 of it, 0.98 where it just suffices
-        100: 1.00 of it, 0.83 where it just suffices
-        300: 0.94 of it, 0.67 where it just suffices
-        1000: 0.68 of it, 0.15 where it just suffices
+        100: 0.99 of it, 0.49 where it just suffices
+        300: 0.42 of it, 0.15 where it just suffices
+        1000: 0.11 of it, 0.02 where it just suffices
     "#]]
     .assert_eq(&sent.concat());
 }
@@ -56,7 +61,7 @@
         for (gap, work_ms) in gaps {
             now = now.after(ms(gap));
             let work_s = work_ms as f64 / 1e3;
-            let chance = part.spend(now, bearable, sharers, WINDOW, work_s);
+            let chance = part.spend(now, &room(bearable, sharers), work_s);
             prop_assert!((0.0..=1.0).contains(&chance));
             prop_assert!(chance == 0.0 || work_s <= 0.25 * bearable * WINDOW.secs());
             spent += chance * work_s;
--- /dev/null
+++ b/tests/module/cold_sum.rs
@@ -0,0 +1,251 @@
+//! What a node that has just started gets from all dispatchers together, counted where it arrives: real decisions of 4,
+//! 20, 30 and 300 of them, on one clock. In no window more than N + 2 roots of N + 2 calls, N being what the settings let
+//! it be asked for then.
+
+use crate::common::*;
+use copperroute::chance::Chance;
+use copperroute::interface::*;
+use copperroute::policy::Dispatcher;
+use std::collections::BTreeMap;
+
+/// A node that starts, and how it is asked.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    dispatchers: u32,
+    /// How many the settings name.
+    told: u32,
+    /// Transfers at once that the cold node fits once it is warm.
+    weight: f64,
+    multiple: f64,
+    window: Nanos,
+    /// Downloads a second of all dispatchers.
+    rate: f64,
+    /// No download comes from this second to that; then forty times as many for a second.
+    silent: (u64, u64),
+    /// At this second, in the middle of what is counted, so many of a hundred dispatchers begin anew.
+    restart: (u64, u32),
+}
+
+/// Of each download 100 ms are sent.
+const WORK_S: f64 = 0.1;
+/// The node starts at this second, and is told of one later.
+const STARTS: u64 = 60;
+/// Seconds that are looked at.
+const SECONDS: u64 = 14;
+/// The cold cache, and the cold parent.
+const COLD: [u32; 2] = [0, 3];
+
+/// What one dispatcher sends: whether a call goes to the cold nodes.
+#[derive(Default)]
+struct Calls {
+    pulls: Vec<(DlId, u32, u32, u32)>,
+    counts: BTreeMap<u32, u32>,
+}
+
+impl Outbox for Calls {
+    fn pull(&mut self, dl: DlId, pull: &Pull) {
+        let number = self.counts.entry(dl.0).or_default();
+        self.pulls.push((dl, *number, pull.node.0, pull.source.0));
+        *number += 1;
+    }
+    fn call_off(&mut self, _dl: DlId, _number: u32) {}
+    fn throttle(&mut self, _dl: DlId, _come_back: Option<Nanos>) {}
+    fn abandon(&mut self, _dl: DlId) {}
+    fn arm(&mut self, _span: Nanos, _token: u64) {}
+    fn probe(&mut self, _node: NodeId) {}
+    fn follow(&mut self) {}
+    fn note(&mut self, _line: &str) {}
+    fn release(&mut self, dl: DlId) {
+        self.counts.remove(&dl.0);
+    }
+    fn release_object(&mut self, _object: ObjectId) {}
+}
+
+impl Case {
+    fn settings(&self, seed: u64) -> Settings {
+        let cold = ColdStart { share: 0.2, warm_after: ms(15_000), fall_multiple: self.multiple };
+        Settings {
+            seed,
+            dispatchers: self.told,
+            zone_dispatchers: self.told,
+            cache_cold: cold,
+            parent_cold: cold,
+            fall_for: self.window,
+            ..settings()
+        }
+    }
+
+    fn list(&self, started: Nanos) -> Vec<NodeEntry> {
+        let nodes = [(0, 0), (1, 0), (2, 0), (3, 1), (4, 1), (5, 2)];
+        let listed = nodes.map(|(id, kind)| {
+            let started = if COLD.contains(&id) { started } else { Nanos::ZERO };
+            NodeEntry { weight: self.weight, ..entry(id, kind, Readiness::Ready, started) }
+        });
+        listed.to_vec()
+    }
+
+    fn begin(&self, now: Nanos, seed: u64, started: Nanos) -> Dispatcher {
+        let mut module = Dispatcher::new(self.settings(seed));
+        let mut out = Calls::default();
+        module.start(now, &mut out);
+        module.nodes_listed(now, &self.list(started), &mut out);
+        module
+    }
+
+    /// The moments at which calls come to the cold cache and to the cold parent.
+    fn play(&self, seed: u64) -> [Vec<Nanos>; 2] {
+        let mut chance = Chance::new(seed);
+        let mut fleet: Vec<_> = (0..self.dispatchers)
+            .map(|at| self.begin(ms(1), seed << 16 | u64::from(at), Nanos::ZERO))
+            .collect();
+        let mut outs: Vec<_> = fleet.iter().map(|_| Calls::default()).collect();
+        // Some get several times the mean.
+        let shares: Vec<f64> = fleet.iter().map(|_| 0.2 + 3.0 * chance.share().powi(4)).collect();
+        let sum: f64 = shares.iter().sum();
+        let (started, told) = (ms(STARTS * 1_000), ms(STARTS * 1_000 + 1_000));
+        for (module, out) in fleet.iter_mut().zip(&mut outs) {
+            module.nodes_changed(told, &self.list(started), out);
+        }
+        let mut came = [Vec::new(), Vec::new()];
+        // Ends of pulls, at their times.
+        let mut ends: BTreeMap<(Nanos, u32), (usize, DlId, u32, u32, u32)> = BTreeMap::new();
+        let (mut now, mut count, mut restarted) = (told, 0_u32, false);
+        while now < ms((STARTS + SECONDS) * 1_000) {
+            let second = now.0 / 1_000_000_000 - STARTS;
+            if !restarted && second >= self.restart.0 {
+                restarted = true;
+                for (at, module) in fleet.iter_mut().enumerate() {
+                    if chance.share() * 100.0 < f64::from(self.restart.1) {
+                        *module = self.begin(now, seed << 24 | at as u64, started);
+                        outs[at] = Calls::default();
+                        ends.retain(|_, end| end.0 != at);
+                    }
+                }
+            }
+            let due = ends.first_key_value().filter(|((when, _), _)| *when <= now).map(|(key, _)| *key);
+            if let Some(key) = due {
+                let Some((at, dl, number, node, source)) = ends.remove(&key) else { continue };
+                // A third of the looks find something; fills bring it.
+                let held = node != source || chance.share() < 0.33;
+                let how = match held {
+                    true if node == source => end(Outcome::Fulfilled, Remark::Hit),
+                    true => end(Outcome::Fulfilled, Remark::FilledFromCopy),
+                    // Some are told that another's fill is under way, and look again.
+                    false if chance.share() < 0.5 => end(Outcome::NotHeld, Remark::Joined),
+                    false => end(Outcome::NotHeld, Remark::None),
+                };
+                fleet[at].pull_ended(now, dl, number, &how, &mut outs[at]);
+                self.sent(now, at, &mut outs[at], &mut came, &mut ends, &mut count);
+                continue;
+            }
+            let burst = if self.silent.1 > 0 && second == self.silent.1 { 40.0 } else { 1.0 };
+            now = now.after(Nanos::from_secs(-(1.0 - chance.share()).ln() / (burst * self.rate)));
+            if (self.silent.0..self.silent.1).contains(&second) {
+                continue;
+            }
+            let mut place = chance.share() * sum;
+            let at = shares.iter().position(|share| {
+                place -= share;
+                place <= 0.0
+            });
+            let at = at.unwrap_or(0);
+            count += 1;
+            let object = (chance.share() * 2_000.0) as u32;
+            let hash = stable_hash(format!("object-{object}").as_bytes());
+            let d = Download {
+                // No download is in hand for so long that its number comes again.
+                dl: DlId(count % 8_192),
+                content_type: TypeId(0),
+                object: ObjectId(object),
+                copy_hash: hash,
+                object_hash: hash,
+                group: None,
+                expires: now.after(ms(3_000)),
+                repeat: false,
+                size_kb: Some(WORK_S * 10_000.0),
+                client: 0,
+                body_hash: 0,
+            };
+            fleet[at].download(now, &d, &mut outs[at]);
+            self.sent(now, at, &mut outs[at], &mut came, &mut ends, &mut count);
+        }
+        came
+    }
+
+    fn sent(
+        &self,
+        now: Nanos,
+        at: usize,
+        out: &mut Calls,
+        came: &mut [Vec<Nanos>; 2],
+        ends: &mut BTreeMap<(Nanos, u32), (usize, DlId, u32, u32, u32)>,
+        count: &mut u32,
+    ) {
+        for (dl, number, node, source) in std::mem::take(&mut out.pulls) {
+            for (cold, came) in COLD.iter().zip(came.iter_mut()) {
+                if node == *cold || source == *cold {
+                    came.push(now);
+                }
+            }
+            *count += 1;
+            ends.insert((now.after(ms(100)), *count), (at, dl, number, node, source));
+        }
+    }
+
+    /// The fullest window, as calls over what the rule bears.
+    fn fullest(&self, came: &[Nanos]) -> f64 {
+        let mut worst: f64 = 0.0;
+        for (first, from) in came.iter().enumerate() {
+            let calls = came[first..].iter().take_while(|at| at.since(*from) < self.window).count();
+            let age = from.since(ms(STARTS * 1_000)).secs();
+            let present = 0.2 + 0.8 * (age / 15.0).min(1.0);
+            let n = self.multiple * present * self.weight * self.window.secs() / WORK_S;
+            worst = worst.max(calls as f64 / (n + 2.0 * n.sqrt() + 2.0));
+        }
+        worst
+    }
+}
+
+fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for dispatchers in [4, 20, 30, 300] {
+        for (weight, multiple, window) in
+            [(12.0, 2.5, 1_500), (1.5, 2.0, 1_000), (3.0, 2.0, 3_000), (2.0, 4.0, 1_000)]
+        {
+            for (silent, restart) in
+                [((0, 0), (99, 0)), ((2, 8), (99, 0)), ((0, 0), (3, 100)), ((3, 6), (6, 50))]
+            {
+                let window = ms(window);
+                // What the location bears once all of it is warm: more would show nodes that can do more than is told.
+                let rate = 0.9 * 3.0 * weight / WORK_S;
+                cases.push(Case {
+                    dispatchers,
+                    told: dispatchers,
+                    weight,
+                    multiple,
+                    window,
+                    rate,
+                    silent,
+                    restart,
+                });
+            }
+        }
+    }
+    cases
+}
+
+#[test]
+fn no_window_has_more_calls_than_a_cold_node_bears_from_all_dispatchers() {
+    let mut worst = Vec::new();
+    for case in cases() {
+        for seed in 1..=if case.dispatchers > 100 { 1 } else { 3 } {
+            let came = case.play(seed);
+            for (cold, came) in ["cache", "parent"].iter().zip(&came) {
+                worst.push((case.fullest(came), format!("{cold} seed {seed} {case:?} {} calls", came.len())));
+            }
+        }
+    }
+    worst.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let shown: Vec<_> = worst.iter().take(12).map(|(part, what)| format!("{part:.2} {what}")).collect();
+    assert!(worst[0].0 <= 1.0, "\n{}", shown.join("\n"));
+}
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod changed;
 mod cold;
+mod cold_sum;
 mod common;
 mod conduct;
 mod failures;
--- a/tests/module/rules.rs
+++ b/tests/module/rules.rs
@@ -115,8 +115,8 @@
     let caches = [0, 5_000, 10_000, 15_000].map(|age| sent_to_cold(0, age));
     let parents = [0, 7_000, 14_000, 21_000].map(|age| sent_to_cold(1, age));
     expect![[r#"
-        caches [12, 14, 14, 21]
-        parents [2, 9, 9, 10]
+        caches [11, 14, 14, 21]
+        parents [1, 7, 9, 10]
     "#]]
     .assert_eq(&format!("caches {caches:?}\nparents {parents:?}\n"));
 }
@@ -139,7 +139,7 @@
         (0..300).map(one).sum::<usize>()
     });
     expect![[r#"
-        at 0, 7 and 14 s: [8, 35, 71]
+        at 0, 7 and 14 s: [7, 28, 53]
     "#]]
     .assert_eq(&format!("at 0, 7 and 14 s: {sent:?}\n"));
 }
--- a/tests/module/storms.rs
+++ b/tests/module/storms.rs
@@ -262,17 +262,17 @@
         6.4 content type 0: Storm after Rising
         6.5 content type 1: Storm after Rising
         6.6 content type 2: Storm after Rising
-        25: ok [6, 0, 0], later 7903, never 0, pulls 45
-        26.5 content type 1: Recovering after Storm
-        26.6 content type 0: Recovering after Storm
-        28.3 content type 2: Recovering after Storm
-        30: ok [61, 493, 249], later 3319, never 0, pulls 823
-        34.8 content type 2: Calm after Recovering
-        35: ok [221, 348, 51], later 1169, never 0, pulls 622
-        40: ok [398, 207, 50], later 400, never 0, pulls 644
+        25: ok [6, 0, 0], later 7931, never 0, pulls 42
+        25.1 content type 1: Recovering after Storm
+        25.8 content type 0: Recovering after Storm
+        29.4 content type 2: Recovering after Storm
+        30: ok [66, 600, 102], later 2613, never 0, pulls 784
+        35: ok [252, 286, 198], later 980, never 0, pulls 743
+        35.8 content type 2: Calm after Recovering
+        40: ok [368, 161, 50], later 357, never 0, pulls 570
         44.5 content type 1: Calm after Recovering
         44.8 content type 0: Calm after Recovering
-        45: ok [114, 152, 50], later 0, never 0, pulls 311
+        45: ok [108, 153, 50], later 0, never 0, pulls 303
         most pulls 4
     "#]]
     .assert_eq(&day.trace);
