Two dozen real processes: readiness with the list service down or slow, and a cold cache's sum

All restarted together: UP with nobody at the list service (list from the configuration) and with a list service of 50 ms a call one after another (none in the configuration); nine in ten asserted within 10 s, all within 30, and each that says UP serves the download it is asked for next.

--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod crossings;
 mod driver;
+mod fleet;
 mod growth;
 mod last_list;
 mod life;
