--- a/dispatcher/tests/dispatcher/unsent.rs
+++ b/dispatcher/tests/dispatcher/unsent.rs
@@ -195,7 +195,8 @@
         Node(1) <- fetch 9b1f lane=post,name=7f3a,piece=0,ttl=1500,src=o-1 0
         connect Node(2) 127.0.0.1:6001
         Node(2) <- fetch 9b1f lane=post,name=7f3a,piece=0,ttl=1500,src=o-1 0
-    "#]].assert_eq(&play.take());
+    "#]]
+    .assert_eq(&play.take());
 }
 
 /// A deduped download broke off and goes again: what waits for its connection when its repeats are known no longer is not
--- a/tests/module/cold_sum.rs
+++ b/tests/module/cold_sum.rs
@@ -35,6 +35,9 @@
 /// The cold cache, and the cold parent.
 const COLD: [u32; 2] = [0, 3];
 
+/// Ends of pulls to come: whose, of which download, the pull's number, its node and source.
+type Ends = BTreeMap<(Nanos, u32), (usize, DlId, u32, u32, u32)>;
+
 /// What one dispatcher sends: whether a call goes to the cold nodes.
 #[derive(Default)]
 struct Calls {
@@ -107,8 +110,7 @@
             module.nodes_changed(told, &self.list(started), out);
         }
         let mut came = [Vec::new(), Vec::new()];
-        // Ends of pulls, at their times.
-        let mut ends: BTreeMap<(Nanos, u32), (usize, DlId, u32, u32, u32)> = BTreeMap::new();
+        let mut ends = Ends::new();
         let (mut now, mut count, mut restarted) = (told, 0_u32, false);
         while now < ms((STARTS + SECONDS) * 1_000) {
             let second = now.0 / 1_000_000_000 - STARTS;
@@ -178,7 +180,7 @@
         at: usize,
         out: &mut Calls,
         came: &mut [Vec<Nanos>; 2],
-        ends: &mut BTreeMap<(Nanos, u32), (usize, DlId, u32, u32, u32)>,
+        ends: &mut Ends,
         count: &mut u32,
     ) {
         for (dl, number, node, source) in std::mem::take(&mut out.pulls) {
