--- a/dispatcher/src/event_loop/connections.rs
+++ b/dispatcher/src/event_loop/connections.rs
@@ -232,6 +232,8 @@
             let kept = from.saturating_sub(connection.left) as usize;
             connection.unwritten.truncate(connection.at + kept);
         }
+        // With nothing left to write it must not wait to write: it would be ready for ever.
+        self.set_interest(peer);
     }
 
     pub(super) fn write(&mut self, peer: Peer, bytes: Vec<u8>) {
--- a/dispatcher/tests/dispatcher/crossings.rs
+++ b/dispatcher/tests/dispatcher/crossings.rs
@@ -3,54 +3,13 @@
 //! `docs/crossings.md` names its test.
 
 use crate::common::{message, request};
-use crate::rig::{LONG, Rig, UNHURRIED, answer, items, shown, told};
+use crate::rig::{Rig, UNHURRIED, answer, items, lies_unread, quiet, reset, rest, shown, told};
 use expect_test::expect;
 use socket2::SockRef;
-use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::process::Stdio;
+use std::io::{BufReader, Write};
+use std::net::Shutdown;
 use std::thread;
-use std::time::{Duration, Instant};
-
-/// Ends a connection by a reset.
-fn reset(stream: &TcpStream) {
-    SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("an option");
-    SockRef::from(stream).shutdown(Shutdown::Both).ok();
-}
-
-/// All that still comes on a connection, and how it ends.
-fn rest(mut stream: &TcpStream) -> String {
-    let mut all = Vec::new();
-    let end = stream.read_to_end(&mut all);
-    format!(
-        "{}{}\n",
-        all.escape_ascii(),
-        end.map_or_else(|fault| format!(" {:?}", fault.kind()), |_| " end".into())
-    )
-}
-
-/// Waits until what was written on this side lies unread at the stopped program, or the end where the sending side has ended:
-/// under load a kernel takes its time over loopback too.
-fn lies_unread(stream: &TcpStream, ended: bool) {
-    let port = |address: std::io::Result<std::net::SocketAddr>| {
-        format!(":{:04X}", address.expect("an address").port())
-    };
-    let (theirs, ours) = (port(stream.peer_addr()), port(stream.local_addr()));
-    let until = Instant::now() + LONG;
-    loop {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table of sockets");
-        let found = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>()).any(|fields| {
-            let of_it = fields.len() > 4 && fields[1].ends_with(&theirs) && fields[2].ends_with(&ours);
-            // State 8 has seen the end; else bytes are in the queue to be read.
-            of_it && if ended { fields[3] == "08" } else { !fields[4].ends_with(":00000000") }
-        });
-        if found {
-            return;
-        }
-        assert!(Instant::now() < until, "nothing comes to the program");
-        thread::sleep(Duration::from_millis(1));
-    }
-}
+use std::time::Duration;
 
 /// A client that sends far more than is read in one turn behind what can't be read: what was answered reaches it, and then
 /// an end, no reset. A close over unread bytes would be one, and take the answer with it.
@@ -116,18 +75,6 @@
     .assert_eq(&trace);
 }
 
-/// The program has read all that came before this: a client of its own is answered, and no node was asked anything.
-fn quiet(rig: &Rig) -> String {
-    let mut client = rig.client();
-    client.write_all(&message("HEALTH", 8)).expect("the program reads");
-    let mut trace = answer(&client);
-    trace += match rig.asked.try_recv() {
-        Ok(asked) => return trace + &shown(&asked),
-        Err(_) => "nobody is asked\n",
-    };
-    trace
-}
-
 /// A node's miss and its client's end are found in one turn, the miss first: no fill is asked for.
 #[test]
 fn a_miss_and_its_clients_end_in_one_turn_lead_to_no_fill() {
@@ -295,79 +242,3 @@
         assert_eq!(quiet(&rig), "8 UP\nnobody is asked\n");
     }
 }
-
-/// Clients send much at once and reset: nothing of it holds up others.
-#[test]
-fn floods_that_leave_by_a_reset_hold_up_nobody() {
-    let rig = Rig::start();
-    for round in 0..20 {
-        let mut flood = Vec::new();
-        (1..=64)
-            .for_each(|tag| flood.extend(request(tag, "image", &format!("{round:02x}{tag:02x}"), UNHURRIED)));
-        let mut client = rig.client();
-        client.write_all(&flood).expect("the program reads");
-        reset(&client);
-    }
-    let mut client = rig.client();
-    client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
-    let mut asked = loop {
-        let asked = rig.asked();
-        if asked.line.starts_with("fetch 9b1f") {
-            break asked;
-        }
-    };
-    asked.back.write_all(&told("9b1f ok - 4", b"done\r\n")).expect("the program reads");
-    assert_eq!(answer(&client), "7 OK  done\n");
-}
-
-/// Idle clients up to the limit of descriptors while the list service is down: once it is back it is reached, so are
-/// nodes, and others are served. The processor's time shows that nothing spins.
-#[test]
-fn idle_clients_that_fill_the_descriptors_keep_neither_list_nor_nodes_away() {
-    let mut rig = Rig::limited("ulimit -n 40", Stdio::null());
-    let list_at = rig.log.local_addr().expect("an address");
-    reset(&rig.log);
-    let mut idle = Vec::new();
-    let mut used = 0.0;
-    for round in 0..6 {
-        while idle.len() < 60 {
-            let stream = rig.client();
-            stream.set_nonblocking(true).expect("an option");
-            idle.push(stream);
-        }
-        thread::sleep(Duration::from_millis(200));
-        // Those that were ended come again.
-        idle.retain(still_there);
-        if round == 0 {
-            used = processor_s(rig.program.id());
-        }
-    }
-    let used = processor_s(rig.program.id()) - used;
-    assert!(used < 0.8, "{used} s of processor time in one second");
-    let list = TcpListener::bind(list_at).expect("the address is free");
-    let until = Instant::now() + LONG;
-    list.set_nonblocking(true).expect("an option");
-    rig.log = loop {
-        match list.accept() {
-            Ok((stream, _)) => break stream,
-            Err(_) => assert!(Instant::now() < until, "the list service is not reached"),
-        }
-        thread::sleep(Duration::from_millis(2));
-    };
-    let mut client = rig.client();
-    client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
-    let mut asked = rig.asked();
-    asked.back.write_all(&told("9b1f ok - 4", b"done\r\n")).expect("the program reads");
-    assert_eq!(answer(&client), "7 OK  done\n");
-}
-
-fn still_there(stream: &TcpStream) -> bool {
-    matches!((&*stream).read(&mut [0; 16]), Err(fault) if fault.kind() == ErrorKind::WouldBlock)
-}
-
-/// The processor time that a process has used.
-fn processor_s(pid: u32) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("it runs");
-    let fields: Vec<&str> = text.rsplit(") ").next().unwrap_or_default().split(' ').collect();
-    [11, 12].iter().map(|at| fields[*at].parse::<f64>().expect("a number") / 100.0).sum()
-}
--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod copies;
 mod crossings;
+mod crossings_full;
 mod driver;
 mod fleet;
 mod growth;
--- a/dispatcher/tests/dispatcher/rig.rs
+++ b/dispatcher/tests/dispatcher/rig.rs
@@ -1,8 +1,9 @@
 //! The program itself with small stand-ins of nodes and the change log around it, on loopback sockets.
 
-use crate::common::{CONFIG, answered, short};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use crate::common::{CONFIG, answered, message, short};
+use socket2::SockRef;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -180,3 +181,76 @@
     let wait = asked.line.split("ttl=").nth(1).map_or("", |rest| rest.split([',', ' ']).next().unwrap_or(""));
     short(&format!("{}: {}\n", asked.node, asked.line.replace(&format!("ttl={wait}"), "ttl=T")))
 }
+
+/// Ends a connection by a reset.
+pub fn reset(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("an option");
+    SockRef::from(stream).shutdown(Shutdown::Both).ok();
+}
+
+/// All that still comes on a connection, and how it ends.
+pub fn rest(mut stream: &TcpStream) -> String {
+    let mut all = Vec::new();
+    let end = stream.read_to_end(&mut all);
+    format!(
+        "{}{}\n",
+        all.escape_ascii(),
+        end.map_or_else(|fault| format!(" {:?}", fault.kind()), |_| " end".into())
+    )
+}
+
+/// Waits until what was written on this side lies unread at the stopped program, or the end where the sending side has ended:
+/// under load a kernel takes its time over loopback too.
+pub fn lies_unread(stream: &TcpStream, ended: bool) {
+    let port = |address: std::io::Result<std::net::SocketAddr>| {
+        format!(":{:04X}", address.expect("an address").port())
+    };
+    let (theirs, ours) = (port(stream.peer_addr()), port(stream.local_addr()));
+    let until = Instant::now() + LONG;
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table of sockets");
+        let found = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>()).any(|fields| {
+            let of_it = fields.len() > 4 && fields[1].ends_with(&theirs) && fields[2].ends_with(&ours);
+            // State 8 has seen the end; else bytes are in the queue to be read.
+            of_it && if ended { fields[3] == "08" } else { !fields[4].ends_with(":00000000") }
+        });
+        if found {
+            return;
+        }
+        assert!(Instant::now() < until, "nothing comes to the program");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// The program has read all that came before this: a client of its own is answered, and no node was asked anything.
+pub fn quiet(rig: &Rig) -> String {
+    let mut client = rig.client();
+    client.write_all(&message("HEALTH", 8)).expect("the program reads");
+    let mut trace = answer(&client);
+    trace += match rig.asked.try_recv() {
+        Ok(asked) => return trace + &shown(&asked),
+        Err(_) => "nobody is asked\n",
+    };
+    trace
+}
+
+/// The processor time that a process has used.
+pub fn processor_s(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("it runs");
+    let fields: Vec<&str> = text.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+    [11, 12].iter().map(|at| fields[*at].parse::<f64>().expect("a number") / 100.0).sum()
+}
+
+pub fn still_there(stream: &TcpStream) -> bool {
+    matches!((&*stream).read(&mut [0; 16]), Err(fault) if fault.kind() == ErrorKind::WouldBlock)
+}
+
+/// All that was told to the program before this has been read.
+pub fn lies_read(rig: &Rig) {
+    let mut client = rig.client();
+    // The change log is read before clients in a turn, and one turn may have begun before it was told.
+    for tag in 1..4 {
+        client.write_all(&message("HEALTH", tag)).expect("the program reads");
+        answer(&client);
+    }
+}
--- a/dispatcher/tests/dispatcher/unsent.rs
+++ b/dispatcher/tests/dispatcher/unsent.rs
@@ -114,6 +114,25 @@
     .assert_eq(&of_one.join("\n"));
 }
 
+/// Two pulls were given to a connection at once, and the client of the first leaves: the second is said anew.
+#[test]
+fn a_pull_behind_one_that_is_unsaid_is_sent_all_the_same() {
+    let mut play = Play::new();
+    play.calm = false;
+    // As many connections as one node gets, and one more pull on the first of them.
+    for tag in 7..12 {
+        play.client(&request(tag, "image", &format!("9b{tag:02}"), ",need=100"));
+    }
+    play.take();
+    play.event(Event::Connected(Peer::Node(1)));
+    play.client(&message("ABORT", 7));
+    expect![[r#"
+        Node(1) <- fetch 9b07 lane=image,name=7f3a,piece=0,ttl=1500 0  fetch 9b11 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+        retract Node(1) from 0
+        Node(1) <- fetch 9b11 lane=image,name=7f3a,piece=0,ttl=1500,keep=1 0
+    "#]].assert_eq(&play.take());
+}
+
 /// A purge is heard while the pull waits to leave: it asks for a newer copy.
 #[test]
 fn what_has_not_begun_to_leave_when_a_purge_is_heard_asks_for_a_newer_copy() {
@@ -199,6 +218,20 @@
     .assert_eq(&play.take());
 }
 
+/// The same answer again, before the second pull has left: it ended a pull that was never sent, the download was refused, and
+/// the pull left all the same (found by the driver).
+#[test]
+fn a_second_answer_does_not_end_a_pull_that_has_not_left() {
+    let mut play = stuck(CONFIG);
+    play.event(Event::Written(Peer::Node(1), 78));
+    let nothing = b"9b1f000000000000 nothing - 0\r\n\r\n";
+    play.event(Event::Received(Peer::Node(1), nothing));
+    play.event(Event::Received(Peer::Node(1), nothing));
+    expect![[r#"
+        Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,src=p-2 0
+    "#]].assert_eq(&play.take());
+}
+
 /// A deduped download broke off and goes again: what waits for its connection when its repeats are known no longer is not
 /// sent, however late the connection comes up.
 #[test]
