--- a/dispatcher/tests/dispatcher/life.rs
+++ b/dispatcher/tests/dispatcher/life.rs
@@ -262,3 +262,42 @@
     "#]]
     .assert_eq(&play.take());
 }
+
+/// Connected, and not a word from the first second on, or half a line: called anew within the time in which all counts as
+/// told.
+#[test]
+fn a_change_log_that_is_silent_from_the_start_or_stops_in_a_line_is_called_anew() {
+    for half in [false, true] {
+        let mut play = Play::new();
+        if half {
+            play.event(Event::Received(Peer::ChangeLog(1), b"{\"seq\":2,\"fleet\":{\"ser"));
+        }
+        play.pass(2_600);
+        let trace = play.take();
+        assert!(trace.contains("ChangeLog(2) <- since 1"), "half {half}: {trace}");
+    }
+}
+
+/// Told to end before any list has come, and twice: it ends, and refuses what came.
+#[test]
+fn told_to_end_before_a_list_has_come_it_ends() {
+    let empty = CONFIG.replace(r#""full": true, "servers""#, r#""full": true, "later""#);
+    let empty = empty.replace(r#""later""#, r#""servers": [], "later""#).replace(r#""fleet""#, r#""other""#);
+    let mut play = Play::of(&empty);
+    play.client(&request(7, "image", "9b1f", ""));
+    play.event(Event::Terminate);
+    play.event(Event::Terminate);
+    play.pass(740);
+    play.trace.push_str("nothing new can come\n");
+    play.pass(300);
+    let trace = play.take();
+    let trace: Vec<_> = trace.lines().filter(|line| !line.contains("ChangeLog")).collect();
+    expect![[r#"
+        Client(1) <- *4 $1 7 $4 BUSY $11 holdoff=185 $0
+        nothing new can come
+        read last
+        shut Client(1)
+        close Client(1)
+        exit"#]]
+    .assert_eq(&trace.join("\n"));
+}
--- a/dispatcher/tests/dispatcher/unsent.rs
+++ b/dispatcher/tests/dispatcher/unsent.rs
@@ -229,7 +229,8 @@
     play.event(Event::Received(Peer::Node(1), nothing));
     expect![[r#"
         Node(1) <- fetch 9b1f lane=image,name=7f3a,piece=0,ttl=1500,src=p-2 0
-    "#]].assert_eq(&play.take());
+    "#]]
+    .assert_eq(&play.take());
 }
 
 /// A deduped download broke off and goes again: what waits for its connection when its repeats are known no longer is not
