--- a/dispatcher/src/nodes/connection.rs
+++ b/dispatcher/src/nodes/connection.rs
@@ -23,6 +23,10 @@
     pub(super) end: u64,
     /// Its download may not simply run again.
     pub(super) once: bool,
+    /// It was answered.
+    pub(super) answered: bool,
+    /// How many pulls of the download this connection has carried.
+    pub(super) uses: u8,
     /// When its download expires: after that its id does not come again.
     pub(super) expires: Nanos,
 }
@@ -129,6 +133,12 @@
         effects.push(Effect::Write(Peer::Node(number), bytes));
     }
 
+    /// Whether a pull of this download may be written here. A node may answer twice, so that one pull's answer is taken for
+    /// the next one's: what may run once only is written once, and nothing a third time.
+    pub(super) fn may_carry(&self, id: &Hex) -> bool {
+        self.out.get(id).is_none_or(|written| written.answered && !written.once && written.uses < MOST_USES)
+    }
+
     /// The pulls that it carries or will carry.
     pub(super) fn load(&self) -> usize {
         self.waiting.len() + self.live
--- a/dispatcher/src/nodes/connections.rs
+++ b/dispatcher/src/nodes/connections.rs
@@ -56,18 +56,14 @@
             }
             Ok(Some(answer)) => {
                 connection.answered = now;
-                // A second answer may follow. Before a later pull of the same download has left whole, it can't be that
-                // one's. Where a download may run once only, a later pull of it must not be taken for ended by it at all, so
-                // its id is not used on this connection again.
+                // A second answer may follow: before a later pull of the same download has left whole, it can't be that
+                // one's. The id stays until its download expires, see `may_carry`.
                 let has_left = |w: &&mut Written| w.end <= connection.written;
                 let asked = answer.id.and_then(|id| connection.out.get_mut(&id)).filter(has_left);
-                let (pull, spent) = match asked {
-                    Some(written) => (written.pull.take(), !written.once),
-                    None => (None, false),
-                };
-                if spent && let Some(id) = answer.id {
-                    connection.out.remove(&id);
-                }
+                let pull = asked.and_then(|written| {
+                    written.answered |= written.pull.is_some();
+                    written.pull.take()
+                });
                 connection.live -= usize::from(pull.is_some());
                 Next::Answer(pull, answer)
             }
--- a/dispatcher/src/nodes/mod.rs
+++ b/dispatcher/src/nodes/mod.rs
@@ -20,6 +20,8 @@
 /// A connection that carried nothing for so long may be closed by its node just as the next pull is written,
 /// which may then have run.
 const RESTED: Nanos = Nanos(20_000_000);
+/// Pulls of one download on one connection, the second after the first was answered.
+const MOST_USES: u8 = 2;
 /// That a node has gone is told so long after another is at its address, at the latest; until then it is left out.
 const TOLD_AFTER: Nanos = Nanos(10_000_000_000);
 /// After that has happened, connections that rested are not used for so long.
--- a/dispatcher/src/nodes/pulls.rs
+++ b/dispatcher/src/nodes/pulls.rs
@@ -61,7 +61,7 @@
         let usable = |number: &&u32| self.connections.get(number).is_some_and(|c| !c.retired);
         let fits = |number: &&u32| {
             let connection = self.connections.get(number);
-            connection.is_some_and(|c| c.load() < self.limits.streams && !c.out.contains_key(&id))
+            connection.is_some_and(|c| c.load() < self.limits.streams && c.may_carry(&id))
         };
         let load = |number: &&u32| self.connections.get(number).map_or(0, Connection::load);
         let best = pool.connections.iter().filter(usable).filter(fits).min_by_key(load).copied();
@@ -107,7 +107,9 @@
             let begin = connection.queued + bytes.len() as u64;
             encode_fetch(&fetch, &mut bytes);
             let end = connection.queued + bytes.len() as u64;
-            let written = Written { pull: Some(pull), at: now, begin, end, once, expires };
+            let uses = connection.out.get(&fetch.id).map_or(1, |before| before.uses.saturating_add(1));
+            let pull = Some(pull);
+            let written = Written { pull, at: now, begin, end, once, answered: false, uses, expires };
             connection.out.insert(fetch.id, written);
             connection.live += 1;
         }
