--- a/lab/src/many_rules.rs
+++ b/lab/src/many_rules.rs
@@ -238,16 +238,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn nobody_acts_on_what_is_forbidden_and_the_service_is_spared() {
-        for (loss, away_ms) in [(0.0, 0), (0.02, 0), (0.0, 20_000)] {
-            let outcome = simulate(&Case { dispatchers: 100, loss, away_ms, seed: 3 });
-            assert_eq!(outcome.forbidden, 0, "{outcome:?}");
-            assert!(outcome.peak < 1.5 && outcome.tight_s <= 4.0, "{outcome:?}");
-            assert!(outcome.back_s.is_some_and(|back| back < 9.0) || loss > 0.0, "{outcome:?}");
-        }
-    }
-}
+#[path = "tests/many_rules.rs"]
+mod tests;
--- /dev/null
+++ b/settings/src/tests/operator.rs
@@ -0,0 +1,83 @@
+//! Tests of what `operator.rs` keeps to itself.
+
+use super::Operator;
+use expect_test::expect;
+
+#[test]
+fn the_users_platform_has_no_disk_that_lasts_and_tells_nothing_of_its_list_service() {
+    let told = include_str!("../../../deploy/platform.json");
+    let platform = Operator::parse(told).expect("a good file");
+    assert_eq!((platform.disk_tier(), platform.last_list()), (Ok(None), Ok(None)));
+    assert_eq!((platform.lists, platform.agreement), (None, None));
+    let run = include_str!("../../../deploy/balancer.toml").lines().find(|line| line.starts_with("run"));
+    let run = run.unwrap_or_default();
+    // One process, by exec, with that file alone.
+    assert!(
+        run.contains("\"exec target/release/copperroute serve --operator deploy/platform.json\""),
+        "{run}"
+    );
+}
+
+#[test]
+fn what_cannot_be_used_is_refused_with_its_place() {
+    let files = [
+        r#"{}"#,
+        r#"{"storms":{}}"#,
+        r#"{"storms":{"slots":0}}"#,
+        r#"{"storms":{"newcomers":0.95}}"#,
+        r#"{"storms":{"remember_s":"long"}}"#,
+        r#"{"storms":{"slotz":5}}"#,
+        r#"{"storm":{}}"#,
+        r#"{"copies":{"memory_mb":0}}"#,
+        r#"{"copies":{}}"#,
+        r#"{"copies":{"memory_mb":1,"disk":{"folder":"d","most_mb":8}}}"#,
+        r#"{"copies":{"memory_mb":1,"disk":{"folder":"d","most_mb":64,"sync":"now"}}}"#,
+        r#"{"storms":{"unknown_repeats":"throttle"}}"#,
+        r#"{"storms":{"remember_s":1e400}}"#,
+        r#"{"lists":{"calls_per_s":0}}"#,
+        r#"{"lists":{"calls_per_s":60,"keep":{"folder":"d","most_age_s":0}}}"#,
+        r#"{"lists":{"calls_per_s":60,"keep":{}}}"#,
+        r#"{"lists":{"calls":60}}"#,
+        r#"{"lists":{"calls_per_s":60,"dispatchers":900}}"#,
+        r#"{"lists":{"calls_per_s":60,"dispatchers":300}}"#,
+        r#"{"agreement":{}}"#,
+        r#"{"agreement":{"lease_s":1}}"#,
+        r#"{"agreement":{"leases_s":3}}"#,
+        r#"{"agreement":{"issued":[{"version":1}]}}"#,
+        r#"{"agreement":{"issued":[{"version":1,"issuer":"ops","issued_ms":1,"from_ms":9,"rules":{},"flor":{}}]}}"#,
+        r#"{"storms":{}} {}"#,
+        r#"{"storms":{"#,
+    ];
+    let said = files.map(|file| match Operator::parse(file) {
+        Ok(_) => format!("{file}: good\n"),
+        Err(why) => format!("{file}: {why}\n"),
+    });
+    expect![[r#"
+        {}: good
+        {"storms":{}}: good
+        {"storms":{"slots":0}}: storms.slots: 0 is no number of slots; expected 1 to 1000000
+        {"storms":{"newcomers":0.95}}: storms.newcomers: 0.95 is no part of the pace; expected 0 to 0.9
+        {"storms":{"remember_s":"long"}}: storms.remember_s: invalid type: string "long", expected f64 at line 1 column 30
+        {"storms":{"slotz":5}}: storms.slotz: unknown field `slotz`, expected one of `remember_s`, `most_remembered`, `slots`, `newcomers`, `clients_mark`, `unknown_repeats` at line 1 column 18
+        {"storm":{}}: storm: unknown field `storm`, expected one of `storms`, `copies`, `lists`, `agreement` at line 1 column 8
+        {"copies":{"memory_mb":0}}: copies.memory_mb: 0 is no number of megabytes; expected 1 to 1000000
+        {"copies":{}}: copies: missing field `memory_mb` at line 1 column 12
+        {"copies":{"memory_mb":1,"disk":{"folder":"d","most_mb":8}}}: copies.disk.segment_mb: 16 is no number of megabytes; expected 1 to 4
+        {"copies":{"memory_mb":1,"disk":{"folder":"d","most_mb":64,"sync":"now"}}}: copies.disk.sync: unknown variant `now`, expected one of `never`, `segments`, `always` at line 1 column 71
+        {"storms":{"unknown_repeats":"throttle"}}: storms.unknown_repeats: unknown variant `throttle`, expected `pull` or `abandon` at line 1 column 39
+        {"storms":{"remember_s":1e400}}: storms.remember_s: number out of range at line 1 column 29
+        {"lists":{"calls_per_s":0}}: lists.calls_per_s: 0 is no number of calls a second; expected 0.1 to 1000000
+        {"lists":{"calls_per_s":60,"keep":{"folder":"d","most_age_s":0}}}: lists.keep.most_age_s: 0 is no number of seconds; expected 1 to 31536000
+        {"lists":{"calls_per_s":60,"keep":{}}}: lists.keep: missing field `folder` at line 1 column 36
+        {"lists":{"calls":60}}: lists.calls: unknown field `calls`, expected one of `calls_per_s`, `dispatchers`, `told_after_s`, `keep` at line 1 column 17
+        {"lists":{"calls_per_s":60,"dispatchers":900}}: lists.calls_per_s: with 60 calls a second 900 dispatchers are not all heard within 7 s; expected 173.1 at least
+        {"lists":{"calls_per_s":60,"dispatchers":300}}: good
+        {"agreement":{}}: good
+        {"agreement":{"lease_s":1}}: agreement.lease_s: 1 is no number of seconds that can hold; expected 2 to 3600: a line comes each second, and may take slack_s longer than the one before
+        {"agreement":{"leases_s":3}}: agreement.leases_s: unknown field `leases_s`, expected one of `lease_s`, `clock_error_s`, `slack_s`, `floor`, `issued` at line 1 column 24
+        {"agreement":{"issued":[{"version":1}]}}: agreement.issued.0.missing field `issuer`
+        {"agreement":{"issued":[{"version":1,"issuer":"ops","issued_ms":1,"from_ms":9,"rules":{},"flor":{}}]}}: agreement.issued.0.flor: unknown field `flor`, expected one of `version`, `after`, `issuer`, `issued_ms`, `from_ms`, `rules`, `floor`
+        {"storms":{}} {}: trailing characters at line 1 column 15
+        {"storms":{: storms.?: EOF while parsing an object at line 1 column 11
+    "#]].assert_eq(&said.concat());
+}
