Name cold nodes' token buckets, retracts and closing clients by the field's words

Part is TokenBucket, what is saved its tokens, Room its Rate; unsay is retract, deaf is closing; nothing else changed, traces and tests as before. Not renamed here: set aside and on trial (a circuit breaker, open and half open), turned away (connection limits): not touched otherwise.

--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -36,7 +36,7 @@
     /// It reads slowly.
     slow: bool,
     /// What it sends can't be read any more: it is closed once all that it asked before is answered.
-    deaf: bool,
+    closing: bool,
     /// When bytes last left, or began to wait.
     moved: Nanos,
     /// When it connected, or last sent a whole message, or was last written to.
@@ -57,13 +57,13 @@
     }
 
     /// Nothing that it sends is decoded any more.
-    pub fn turn_deaf(&mut self) {
-        (self.deaf, self.midway, self.decoder) = (true, None, Decoder::default());
+    pub fn close_when_answered(&mut self) {
+        (self.closing, self.midway, self.decoder) = (true, None, Decoder::default());
     }
 
     /// Whether what it sends is not decoded any more.
-    pub fn is_deaf(&self) -> bool {
-        self.deaf
+    pub fn is_closing(&self) -> bool {
+        self.closing
     }
 
     /// A whole message has come.
--- a/dispatcher/src/desk/mod.rs
+++ b/dispatcher/src/desk/mod.rs
@@ -221,15 +221,15 @@
     }
 
     /// What a client sends can't be read on: what it asked before is answered, then its connection ends.
-    pub fn turn_deaf(&mut self, client: u32) {
+    pub fn close_when_answered(&mut self, client: u32) {
         if let Some(client) = self.clients.get_mut(client) {
-            client.turn_deaf();
+            client.close_when_answered();
         }
-        self.end_if_deaf(client);
+        self.shut_if_answered(client);
     }
 
-    fn end_if_deaf(&mut self, client: u32) {
-        if self.clients.get_mut(client).is_some_and(|client| client.is_deaf() && client.open.is_empty()) {
+    fn shut_if_answered(&mut self, client: u32) {
+        if self.clients.get_mut(client).is_some_and(|client| client.is_closing() && client.open.is_empty()) {
             self.shut_client(client);
         }
     }
@@ -268,7 +268,7 @@
         }
         if let Some((client, tag)) = self.settle(dl) {
             self.write(client, tag, answer);
-            self.end_if_deaf(client);
+            self.shut_if_answered(client);
         }
     }
 
--- a/dispatcher/src/nodes/connection.rs
+++ b/dispatcher/src/nodes/connection.rs
@@ -84,10 +84,10 @@
         }
     }
 
-    /// Unsays what has not begun to leave, from the first pull that is meant on. Returns the pulls that were meant; those
+    /// Retracts what has not begun to leave, from the first pull that is meant on. Returns the pulls that were meant; those
     /// that were not wait again. Of bytes given to the connection only their number is known here, so what is to be
     /// said all the same is said anew.
-    pub(super) fn unsay(
+    pub(super) fn retract(
         &mut self,
         number: u32,
         meant: &impl Fn(&PullRef) -> bool,
@@ -116,9 +116,9 @@
         }
         self.queued = from;
         effects.push(Effect::Retract(Peer::Node(number), from));
-        let (kept, unsaid): (Vec<_>, Vec<_>) = self.aborts.drain(..).partition(|(begin, _)| *begin < from);
+        let (kept, retracted): (Vec<_>, Vec<_>) = self.aborts.drain(..).partition(|(begin, _)| *begin < from);
         self.aborts.extend(kept);
-        for (_, id) in unsaid.into_iter().filter(|(_, id)| self.out.contains_key(id)).collect::<Vec<_>>() {
+        for (_, id) in retracted.into_iter().filter(|(_, id)| self.out.contains_key(id)).collect::<Vec<_>>() {
             self.say_abort(number, id, effects);
         }
         back
--- a/dispatcher/src/nodes/pulls.rs
+++ b/dispatcher/src/nodes/pulls.rs
@@ -15,7 +15,7 @@
             let before = back.len();
             back.extend(connection.waiting.iter().filter(|pull| meant(pull)));
             connection.waiting.retain(|pull| !meant(pull));
-            back.extend(connection.unsay(*number, &meant, effects));
+            back.extend(connection.retract(*number, &meant, effects));
             freed.extend((back.len() > before).then_some(*number));
         }
         back.sort_by_key(|pull| (pull.dl.0, pull.number));
@@ -136,7 +136,7 @@
             self.close_if_spent(number, effects);
             return true;
         }
-        if !connection.unsay(number, &|other| *other == pull, effects).is_empty() {
+        if !connection.retract(number, &|other| *other == pull, effects).is_empty() {
             self.close_if_spent(number, effects);
             return true;
         }
--- a/dispatcher/src/reducer/clients.rs
+++ b/dispatcher/src/reducer/clients.rs
@@ -10,18 +10,18 @@
             }
             return;
         };
-        if client.is_deaf() {
+        if client.is_closing() {
             return;
         }
         client.decoder.feed(bytes);
-        while let Some(client) = self.desk.clients.get_mut(number).filter(|client| !client.is_deaf()) {
+        while let Some(client) = self.desk.clients.get_mut(number).filter(|client| !client.is_closing()) {
             let message = match client.decoder.next_message() {
                 Ok(Some(message)) => message,
                 Ok(None) => return client.pauses(now),
                 Err(fault) => {
                     self.complaints.warn(now, format_args!("client {number}: {fault}"));
                     log::debug!(target: "copperroute::trace", "client {number} unreadable");
-                    return self.desk.turn_deaf(number);
+                    return self.desk.close_when_answered(number);
                 }
             };
             client.spoke(now);
@@ -35,7 +35,7 @@
                 // Two answers under one tag could not be told apart.
                 _ if open.is_some() => {
                     self.complaints.warn(now, format_args!("client {number}: tag {tag} is open already"));
-                    return self.desk.turn_deaf(number);
+                    return self.desk.close_when_answered(number);
                 }
                 Message::Request(..) if self.desk.has_run_out_for(number) => {
                     self.complaints.warn(now, format_args!("client {number}: takes too little, closed"));
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -2,8 +2,9 @@
 //! rule 4 with no agreement. No input or output; time comes with each call, chance as a draw of the caller's.
 //! See docs/cold-start.md.
 //!
-//! A part grows with time and is spent by pulls. Of hundreds of dispatchers one's part of a second is far less than a
-//! pull: then a pull is sent with the chance that the part has grown to, and that is spent, sent or not.
+//! Each dispatcher has a token bucket for each cold node: seconds of sending grow in it and are spent by pulls. Of hundreds
+//! of dispatchers one's tokens of a second are far less than a pull: then a pull is sent with the chance that they come
+//! to, and they are spent, sent or not.
 //!
 //! The sum, stated: in any window of the rule's length all together may send what grows in it and what was saved before
 //! it. What is saved is bounded so that this is `WORST` of the N calls that the rule bears in that window, were every
@@ -16,25 +17,25 @@
 /// One pull that is more than this part of what the node can do in the rule's time is not for a cold node.
 const MOST: f64 = 0.25;
 /// A node that has just started has so many seconds' growth saved, if so much may be.
-const BEGINS_WITH_S: f64 = 1.0;
+const INITIAL_S: f64 = 1.0;
 /// What all together send in the rule's time at the worst, as a part of what the rule bears.
 const WORST: f64 = 0.75;
 
 /// No wait is told that is longer.
 const LONGEST_S: f64 = 60.0;
 
-/// One dispatcher's part of one cold node.
+/// One dispatcher's token bucket for one cold node.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Part {
-    /// Work saved, in seconds of sending.
-    saved_s: f64,
+pub struct TokenBucket {
+    /// What is in it, in seconds of sending.
+    tokens_s: f64,
     /// When that was; zero for never.
     at: Nanos,
 }
 
 /// What all dispatchers together may send a cold node.
 #[derive(Debug, Clone, Copy)]
-pub struct Room {
+pub struct Rate {
     /// Seconds of sending a second that they send it.
     bearable: f64,
     /// How many times as much the rule bears.
@@ -45,10 +46,10 @@
     sharers: u32,
 }
 
-impl Room {
+impl Rate {
     /// So many seconds of sending a second, of which the rule bears so many times as much over `window`, for so many.
-    pub fn new(bearable: f64, rule: f64, window: Nanos, sharers: u32) -> Room {
-        Room { bearable, rule, window, sharers }
+    pub fn new(bearable: f64, rule: f64, window: Nanos, sharers: u32) -> Rate {
+        Rate { bearable, rule, window, sharers }
     }
 
     /// What grows for one dispatcher in a second.
@@ -57,37 +58,37 @@
     }
 
     /// For how long it may be saved, in seconds.
-    fn saved_for_s(&self) -> f64 {
+    fn burst_s(&self) -> f64 {
         self.window.secs() * (WORST * self.rule - 1.0).max(0.0)
     }
 }
 
-impl Part {
-    /// The part of a node that had started before this dispatcher did, at this time: whoever was in its place before may
+impl TokenBucket {
+    /// The empty bucket for a node that had started before this dispatcher did, at this time: whoever was in its place before may
     /// just have spent all that it had.
-    pub fn begun(at: Nanos) -> Part {
-        Part { saved_s: 0.0, at }
+    pub fn begun(at: Nanos) -> TokenBucket {
+        TokenBucket { tokens_s: 0.0, at }
     }
 
     /// The chance with which a pull of so much work is sent now, which is spent, sent or not.
-    pub fn spend(&mut self, now: Nanos, room: &Room, work_s: f64) -> f64 {
-        if work_s > MOST * room.bearable * room.window.secs() {
+    pub fn spend(&mut self, now: Nanos, rate: &Rate, work_s: f64) -> f64 {
+        if work_s > MOST * rate.bearable * rate.window.secs() {
             return 0.0;
         }
         let grown_s = match self.at {
-            Nanos::ZERO => BEGINS_WITH_S,
+            Nanos::ZERO => INITIAL_S,
             at => now.since(at).secs(),
         };
         self.at = now;
-        self.saved_s = (self.saved_s + room.share() * grown_s).min(room.share() * room.saved_for_s());
-        let chance = (self.saved_s / work_s.max(1e-6)).clamp(0.0, 1.0);
-        self.saved_s -= chance * work_s;
+        self.tokens_s = (self.tokens_s + rate.share() * grown_s).min(rate.share() * rate.burst_s());
+        let chance = (self.tokens_s / work_s.max(1e-6)).clamp(0.0, 1.0);
+        self.tokens_s -= chance * work_s;
         chance
     }
 
     /// How long it takes until a pull of so much work has grown again, at what the dispatcher may send a second.
-    pub fn until(&self, room: &Room, work_s: f64) -> Nanos {
-        Nanos::from_secs(((work_s - self.saved_s) / room.share().max(1e-6)).clamp(0.0, LONGEST_S))
+    pub fn until(&self, rate: &Rate, work_s: f64) -> Nanos {
+        Nanos::from_secs(((work_s - self.tokens_s) / rate.share().max(1e-6)).clamp(0.0, LONGEST_S))
     }
 }
 
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher keeps of its nodes. State only: nothing here decides.
 
-use crate::cold::Part;
+use crate::cold::TokenBucket;
 use crate::interface::{Nanos, NodeEntry, NodeId, Readiness, Report, ZoneId, mix};
 use crate::ring::Ring;
 use crate::size::{PROBE_PARENTS, Size, Sizes};
@@ -24,7 +24,7 @@
     /// Failures since anything worked.
     pub in_row: u32,
     /// The own part of it while it is cold.
-    pub part: Part,
+    pub bucket: TokenBucket,
     /// Smoothed time to first byte of its fills, and when it was last seen.
     pub first_byte: (f64, Nanos),
     /// Pulls and fills out.
@@ -48,7 +48,7 @@
             started: e.started,
             ended: Ring::new(judged_over, buckets),
             pace: Ring::new(judged_over, buckets),
-            part: Part::default(),
+            bucket: TokenBucket::default(),
             size: Size::default(),
             in_row: 0,
             first_byte: (0.0, Nanos::ZERO),
@@ -93,7 +93,8 @@
     pub fn relist(&mut self, e: &NodeEntry) {
         if e.started > self.e.started {
             (self.aside_until, self.on_trial, self.in_row) = (Nanos::ZERO, false, 0);
-            (self.started, self.first_byte, self.part) = (e.started, (0.0, Nanos::ZERO), Part::default());
+            (self.started, self.first_byte, self.bucket) =
+                (e.started, (0.0, Nanos::ZERO), TokenBucket::default());
             self.ended.clear();
             self.pace.clear();
         }
@@ -221,7 +222,7 @@
                 None => {
                     let mut node = new(e);
                     if e.started <= self.began {
-                        node.part = Part::begun(self.began);
+                        node.bucket = TokenBucket::begun(self.began);
                     }
                     self.slots.put(e.node.0, node);
                 }
--- a/src/policy/ends.rs
+++ b/src/policy/ends.rs
@@ -181,7 +181,7 @@
         n.on_trial = true;
         n.ended.clear();
         if died {
-            (n.started, n.part) = (n.aside_until, Default::default());
+            (n.started, n.bucket) = (n.aside_until, Default::default());
         }
         out.note(&format!("node {} set aside for {:.1} s", id.0, aside.secs()));
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,9 +1,9 @@
-//! Every decision of a dispatcher. An adapter makes one [`Dispatcher`] from the settings, calls `start`, then a
-//! method for each thing that happens. The module answers through the `Outbox` it is handed, before the call
-//! returns. Words and trait: `src/interface.rs`.
+//! Every decision of a dispatcher. An adapter makes one [`Dispatcher`] from the settings, calls `start`, then
+//! a method for each thing that happens. The module answers through the `Outbox` it is handed, before the
+//! call returns. Words and trait: `src/interface.rs`.
 
 use crate::chance::Chance;
-use crate::cold::{Room, one_place};
+use crate::cold::{Rate, one_place};
 use crate::interface::*;
 use crate::link::Link;
 use crate::nodes::{Node, Nodes};
--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -3,18 +3,18 @@
 use super::*;
 
 impl Dispatcher {
-    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each keeps to
-    /// its own part (`src/cold.rs` states the sum); one download that is a large part is not for a cold node.
+    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each keeps
+    /// to its token bucket (`src/cold.rs` states the sum); one large download is not for a cold node.
     pub(super) fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
         let (cold, sharers) = self.cold_start(id);
         if !self.nodes.is_cold(now, id, cold.warm_after) {
             return self.nodes.get(id).is_some();
         }
         let bearable = self.nodes.get(id).map_or(0.0, |n| self.bearable(n, now));
-        let room = Room::new(bearable, cold.fall_multiple.max(1.0 / COLD_LOAD), self.s.fall_for, sharers);
+        let rate = Rate::new(bearable, cold.fall_multiple.max(1.0 / COLD_LOAD), self.s.fall_for, sharers);
         let Some(n) = self.nodes.get_mut(id) else { return false };
-        let chance = n.part.spend(now, &room, work_s);
-        self.again = n.part.until(&room, work_s);
+        let chance = n.bucket.spend(now, &rate, work_s);
+        self.again = n.bucket.until(&rate, work_s);
         chance > 0.0 && self.chance.share() < chance
     }
 
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -2,7 +2,7 @@
 
 use crate::common::*;
 use copperroute::chance::Chance;
-use copperroute::cold::{Part, Room, one_place};
+use copperroute::cold::{Rate, TokenBucket, one_place};
 use copperroute::interface::*;
 use copperroute::spare::Origin;
 use copperroute::state::TypeRow;
@@ -12,8 +12,8 @@
 const WINDOW: Nanos = Nanos(3_000_000_000);
 
 /// What a node bears of which the rule bears two and a half times as much.
-fn room(bearable: f64, sharers: u32) -> Room {
-    Room::new(bearable, 2.5, WINDOW, sharers)
+fn room(bearable: f64, sharers: u32) -> Rate {
+    Rate::new(bearable, 2.5, WINDOW, sharers)
 }
 
 /// Work that so many dispatchers send a cold node that can do 2.4 s of it a second, each asked so often, in a minute.
@@ -21,10 +21,10 @@
     let mut chance = Chance::new(u64::from(dispatchers));
     let mut sent = 0.0;
     for _ in 0..dispatchers {
-        let mut part = Part::default();
+        let mut bucket = TokenBucket::default();
         let mut at = (chance.share() * every_ms as f64) as u64;
         while at < 60_000 {
-            let send = part.spend(ms(1 + at), &room(2.4, dispatchers), work_s);
+            let send = bucket.spend(ms(1 + at), &room(2.4, dispatchers), work_s);
             sent += if chance.share() < send { work_s } else { 0.0 };
             at += (every_ms as f64 * (0.5 + chance.share())) as u64;
         }
@@ -55,13 +55,13 @@
     fn no_more_is_spent_than_has_grown(
         gaps in prop::collection::vec((0_u64..4_000, 1_u64..1_500), 1..200), sharers in 1_u32..500, bearable in 0.05_f64..30.0,
     ) {
-        let mut part = Part::default();
+        let mut bucket = TokenBucket::default();
         let (mut now, mut spent) = (ms(5_000), 0.0);
         let share = bearable / f64::from(sharers);
         for (gap, work_ms) in gaps {
             now = now.after(ms(gap));
             let work_s = work_ms as f64 / 1e3;
-            let chance = part.spend(now, &room(bearable, sharers), work_s);
+            let chance = bucket.spend(now, &room(bearable, sharers), work_s);
             prop_assert!((0.0..=1.0).contains(&chance));
             prop_assert!(chance == 0.0 || work_s <= 0.25 * bearable * WINDOW.secs());
             spent += chance * work_s;
