At the end of the program none lingers longer than the rest

Found by reading: a connection that was ended within the last second before lingered its own second, and held up the exit (dispatcher/src/clients.rs shut_all). Test who_lingers_already_does_not_hold_up_the_end; it fails without.

--- a/dispatcher/src/clients.rs
+++ b/dispatcher/src/clients.rs
@@ -186,6 +186,7 @@
     pub fn shut_all(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
         let mut numbers: Vec<_> = self.by_number.keys().copied().collect();
         numbers.sort();
+        self.lingering.hurry(now);
         for number in numbers {
             self.forget(number);
             self.lingering.begin_last(now, number);
--- a/dispatcher/src/lingering.rs
+++ b/dispatcher/src/lingering.rs
@@ -47,7 +47,13 @@
         if self.endings.len() <= self.most { None } else { self.oldest() }
     }
 
-    /// The same at the end of the program, however many there are.
+    /// The program ends: those that linger already have no longer than the rest.
+    pub fn hurry(&mut self, now: Nanos) {
+        let last = now.after(LINGERS_AT_END);
+        self.endings.iter_mut().for_each(|ending| ending.until = ending.until.min(last));
+    }
+
+    /// A connection's sending side ends now, as the program does, however many there are.
     pub fn begin_last(&mut self, now: Nanos, number: u32) {
         self.endings.push_back(Ending { number, until: now.after(LINGERS_AT_END), bytes: 0 });
     }
--- a/dispatcher/tests/dispatcher/life.rs
+++ b/dispatcher/tests/dispatcher/life.rs
@@ -301,3 +301,19 @@
         exit"#]]
     .assert_eq(&trace.join("\n"));
 }
+
+/// A client whose connection was ended just before does not hold up the end of the program.
+#[test]
+fn who_lingers_already_does_not_hold_up_the_end() {
+    let mut play = Play::new();
+    play.event(Event::Accepted(2, LOOPBACK));
+    play.event(Event::Terminate);
+    play.pass(700);
+    play.event(Event::Received(Peer::Client(2), b"GET / HTTP/1.1\r\n"));
+    play.pass(160);
+    let trace = play.take();
+    assert!(
+        trace.contains("shut Client(2)") && trace.ends_with("close Client(2)\nclose Client(1)\nexit\n"),
+        "{trace}"
+    );
+}
