One piece for what tests wrote again: a sized download, a rig that was asked, no list

Two tests of life.rs made the same configuration without a list: now `unlisted`. Five socket tests began with the same four lines: now `Rig::asked_for`.

--- a/dispatcher/tests/dispatcher/crossings.rs
+++ b/dispatcher/tests/dispatcher/crossings.rs
@@ -53,10 +53,7 @@
 /// A client that ends its sending side may have left: nothing is sent on for it any more. One that still reads is told so.
 #[test]
 fn a_client_that_ends_its_sending_side_is_told_at_once_and_nothing_goes_on() {
-    let rig = Rig::start();
-    let mut client = rig.client();
-    client.write_all(&request(7, "image", "9b1f", UNHURRIED)).expect("the program reads");
-    let mut first = rig.asked();
+    let (rig, client, mut first) = Rig::asked_for("image");
     client.shutdown(Shutdown::Write).expect("an end");
     let mut trace = answer(&client);
     trace += &rest(&client);
@@ -79,10 +76,7 @@
 #[test]
 fn a_miss_and_its_clients_end_in_one_turn_lead_to_no_fill() {
     for _ in 0..10 {
-        let rig = Rig::start();
-        let mut client = rig.client();
-        client.write_all(&request(7, "image", "9b1f", UNHURRIED)).expect("the program reads");
-        let mut first = rig.asked();
+        let (rig, client, mut first) = Rig::asked_for("image");
         rig.signal("STOP");
         first.back.write_all(&told("9b1f nothing - 0", b"\r\n")).expect("it is kept for the program");
         lies_unread(&first.back, false);
@@ -118,10 +112,7 @@
 #[test]
 fn a_miss_and_a_drain_in_one_turn_lead_to_no_pull_there() {
     for _ in 0..10 {
-        let mut rig = Rig::start();
-        let mut client = rig.client();
-        client.write_all(&request(7, "image", "9b1f", UNHURRIED)).expect("the program reads");
-        let mut first = rig.asked();
+        let (mut rig, _client, mut first) = Rig::asked_for("image");
         rig.signal("STOP");
         first.back.write_all(&told("9b1f nothing - 0", b"\r\n")).expect("it is kept for the program");
         lies_unread(&first.back, false);
@@ -203,10 +194,7 @@
 /// Told to end twice, and to read its configuration in between, it answers what is open and ends well.
 #[test]
 fn further_signals_change_nothing_of_the_end() {
-    let mut rig = Rig::start();
-    let mut client = rig.client();
-    client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
-    let mut asked = rig.asked();
+    let (mut rig, client, mut asked) = Rig::asked_for("post");
     ["TERM", "HUP", "TERM", "HUP"].iter().for_each(|name| rig.signal(name));
     let mut late = rig.client();
     while {
@@ -229,10 +217,7 @@
 #[test]
 fn an_answer_with_a_reset_behind_it_counts() {
     for _ in 0..10 {
-        let rig = Rig::start();
-        let mut client = rig.client();
-        client.write_all(&request(7, "post", "9b1f", UNHURRIED)).expect("the program reads");
-        let mut asked = rig.asked();
+        let (rig, client, mut asked) = Rig::asked_for("post");
         rig.signal("STOP");
         asked.back.write_all(&told("9b1f ok - 4", b"done\r\n")).expect("it is kept for the program");
         lies_unread(&asked.back, false);
--- a/dispatcher/tests/dispatcher/life.rs
+++ b/dispatcher/tests/dispatcher/life.rs
@@ -4,6 +4,13 @@
 use copperroute_dispatcher::effects::{Event, Peer};
 use expect_test::expect;
 
+/// A dispatcher that knows no list at its start.
+fn unlisted() -> Play {
+    let empty = CONFIG.replace(r#""full": true, "servers""#, r#""full": true, "later""#);
+    let empty = empty.replace(r#""later""#, r#""servers": [], "later""#).replace(r#""fleet""#, r#""other""#);
+    Play::of(&empty)
+}
+
 #[test]
 fn the_change_log_is_followed_without_a_gap() {
     let mut play = Play::new();
@@ -98,9 +105,7 @@
 
 #[test]
 fn health_follows_the_phases_and_the_last_answer_comes_before_the_exit() {
-    let empty = CONFIG.replace(r#""full": true, "servers""#, r#""full": true, "later""#);
-    let empty = empty.replace(r#""later""#, r#""servers": [], "later""#).replace(r#""fleet""#, r#""other""#);
-    let mut play = Play::of(&empty);
+    let mut play = unlisted();
     play.client(&message("HEALTH", 1));
     play.log(1, r#"{"seq":2,"fleet":{"full":true,"servers":[{"id":"s-a","addr":"127.0.0.1:6001","zone":"east","kind":"box","state":"active","weight":20}]}}"#);
     play.client(&message("HEALTH", 2));
@@ -281,9 +286,7 @@
 /// Told to end before any list has come, and twice: it ends, and refuses what came.
 #[test]
 fn told_to_end_before_a_list_has_come_it_ends() {
-    let empty = CONFIG.replace(r#""full": true, "servers""#, r#""full": true, "later""#);
-    let empty = empty.replace(r#""later""#, r#""servers": [], "later""#).replace(r#""fleet""#, r#""other""#);
-    let mut play = Play::of(&empty);
+    let mut play = unlisted();
     play.client(&request(7, "image", "9b1f", ""));
     play.event(Event::Terminate);
     play.event(Event::Terminate);
--- a/dispatcher/tests/dispatcher/rig.rs
+++ b/dispatcher/tests/dispatcher/rig.rs
@@ -1,6 +1,6 @@
 //! The program itself with small stand-ins of nodes and the change log around it, on loopback sockets.
 
-use crate::common::{CONFIG, answered, message, short};
+use crate::common::{CONFIG, answered, message, request, short};
 use socket2::SockRef;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -62,6 +62,15 @@
         Rig::limited("true", Stdio::null())
     }
 
+    /// The same with a client that has asked for one download, under tag 7, and the pull that came of it.
+    pub fn asked_for(content_type: &str) -> (Rig, TcpStream, Asked) {
+        let rig = Rig::start();
+        let mut client = rig.client();
+        client.write_all(&request(7, content_type, "9b1f", UNHURRIED)).expect("the program reads");
+        let asked = rig.asked();
+        (rig, client, asked)
+    }
+
     /// The same after a command of the shell has set limits.
     pub fn limited(limits: &str, errors: Stdio) -> Rig {
         let (tell, asked) = channel();
--- a/tests/module/cold_sum.rs
+++ b/tests/module/cold_sum.rs
@@ -153,21 +153,8 @@
             let at = at.unwrap_or(0);
             count += 1;
             let object = (chance.share() * 2_000.0) as u32;
-            let hash = stable_hash(format!("object-{object}").as_bytes());
-            let d = Download {
-                // No download is in hand for so long that its number comes again.
-                dl: DlId(count % 8_192),
-                content_type: TypeId(0),
-                object: ObjectId(object),
-                copy_hash: hash,
-                object_hash: hash,
-                group: None,
-                expires: now.after(ms(3_000)),
-                repeat: false,
-                size_kb: Some(WORK_S * 10_000.0),
-                client: 0,
-                body_hash: 0,
-            };
+            // No download is in hand for so long that its number comes again.
+            let d = sized(now, count % 8_192, object, WORK_S * 10_000.0);
             fleet[at].download(now, &d, &mut outs[at]);
             self.sent(now, at, &mut outs[at], &mut came, &mut ends, &mut count);
         }
--- a/tests/module/common.rs
+++ b/tests/module/common.rs
@@ -114,22 +114,32 @@
     (module, trace)
 }
 
-/// Download `dl` of content type `kind` for object `object`, which expires 3 s from now; 10 more on
-/// `kind` for a client's repeat.
-pub fn ask(module: &mut Dispatcher, now: Nanos, dl: u32, kind: u32, object: u32, trace: &mut Trace) {
+/// Download `dl` of content type 0 for object `object`, of so many KB, which expires 3 s from now.
+pub fn sized(now: Nanos, dl: u32, object: u32, size_kb: f64) -> Download {
     let hash = stable_hash(format!("object-{object}").as_bytes());
-    let d = Download {
+    Download {
         dl: DlId(dl),
-        content_type: TypeId(kind % 10),
+        content_type: TypeId(0),
         object: ObjectId(object),
         copy_hash: hash,
         object_hash: hash,
-        group: Some(u64::from(object % 4)),
+        group: None,
         expires: now.after(ms(3_000)),
-        repeat: kind >= 10,
-        size_kb: Some(1_000.0),
+        repeat: false,
+        size_kb: Some(size_kb),
         client: 0,
         body_hash: 0,
+    }
+}
+
+/// Download `dl` of content type `kind` for object `object`, which expires 3 s from now; 10 more on
+/// `kind` for a client's repeat.
+pub fn ask(module: &mut Dispatcher, now: Nanos, dl: u32, kind: u32, object: u32, trace: &mut Trace) {
+    let d = Download {
+        content_type: TypeId(kind % 10),
+        group: Some(u64::from(object % 4)),
+        repeat: kind >= 10,
+        ..sized(now, dl, object, 1_000.0)
     };
     module.download(now, &d, trace);
 }
--- a/tests/module/largest.rs
+++ b/tests/module/largest.rs
@@ -154,19 +154,10 @@
                 let at = (chance.share() * f64::from(DISPATCHERS)) as usize;
                 let Want { object, work_s, .. } = wants[want];
                 wants[want].tries += 1;
-                let hash = stable_hash(format!("object-{object}").as_bytes());
                 let d = Download {
-                    dl: DlId(count % 16_384),
-                    content_type: TypeId(0),
-                    object: ObjectId(object),
-                    copy_hash: hash,
-                    object_hash: hash,
-                    group: None,
                     expires: now.after(EXPIRY),
                     repeat: wants[want].tries > 1,
-                    size_kb: Some(work_s * 10_000.0),
-                    client: 0,
-                    body_hash: 0,
+                    ..sized(now, count % 16_384, object, work_s * 10_000.0)
                 };
                 open.insert((at, d.dl.0), (want, d.expires));
                 fleet[at].download(now, &d, &mut outs[at]);
