--- a/lab/src/play.rs
+++ b/lab/src/play/mod.rs
@@ -1,18 +1,21 @@
 //! Plays a scenario: starts the stand-ins and the real dispatchers, lets the clients come, and makes things fail.
 
-use crate::clients::{Crowd, KB_PER_S};
+mod configuration;
+mod faults;
+mod versions;
+
+use crate::clients::Crowd;
 use crate::groups;
-use crate::nodes::{FALL_FOR, FALL_MULTIPLE, Fleet, PARENT_COLD_S, PARENT_FALL_MULTIPLE, zone_name};
+use crate::links::Link;
+use crate::nodes::Fleet;
 use crate::processes::{Processes, own_address, ready};
 use crate::results::{Heard, Outcome, Results, Seen};
-use crate::scenario::{Fault, Know, Scenario, Side, Versions, What, Whom};
+use crate::scenario::{Know, Scenario, Side, Whom};
 use crate::service::Service;
-use crate::world::{DRAIN_GRACE, Issued, PURGE_GRACE, World, unix_ms};
-use crate::{links::Link, links::Way};
-use copperroute_agreement::issue::{Issue, written_digest};
+use crate::world::World;
+use configuration::configuration;
+use faults::happen;
 use indicatif::ProgressBar;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -20,9 +23,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
+use versions::issue;
 
-/// A drained node goes so long after it was told.
-const DRAINED_AFTER: Duration = Duration::from_millis(2_500);
 /// How often it is looked whether all dispatchers have heard all.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -42,55 +44,6 @@
     pub net: u8,
 }
 
-/// Dispatchers in each location: they are dealt out in turn.
-fn crews(scenario: &Scenario) -> Vec<usize> {
-    let (count, zones) = (scenario.dispatchers.count, scenario.fleet.zones);
-    (0..zones).map(|zone| (zone..count).step_by(zones).count()).collect()
-}
-
-fn config(scenario: &Scenario, at: usize, listen: SocketAddr, service: SocketAddr) -> serde_json::Value {
-    let fleet = &scenario.fleet;
-    let services: Vec<_> = scenario
-        .types
-        .iter()
-        .map(|of| {
-            json!({"name": of.name, "effect": if of.objects == 0 { "unsafe" } else { "safe" }, "value": of.benefit,
-                "aim_s": of.target_ms / 1e3, "aim_stretch": of.stretch, "deadline_s": of.expiry_ms as f64 / 1e3})
-        })
-        .collect();
-    let each = |value: &dyn Fn(&crate::scenario::ContentType) -> serde_json::Value| {
-        scenario.types.iter().map(value).collect::<Vec<_>>()
-    };
-    let mut localities: Vec<_> = (0..fleet.zones).map(zone_name).collect();
-    localities.push("hub".into());
-    let crews: Vec<_> = crews(scenario).into_iter().chain([0]).collect();
-    let pipe = if fleet.sizes_untold { 0.0 } else { fleet.link * KB_PER_S / fleet.zones as f64 };
-    let pipes: Vec<_> = (0..fleet.zones).map(|_| pipe).chain([0.0]).collect();
-    json!({
-        "name": format!("n{at}"), "listen": listen.to_string(), "seed": format!("{:x}", scenario.seed * 31 + at as u64),
-        "limits": {"cores": 1.0, "memory_mb": scenario.dispatchers.memory_mb, "sockets": scenario.dispatchers.sockets},
-        "changelog": service.to_string(), "flow_bytes_per_s": 310_000, "link_bytes_per_s": 1_240_000,
-        "settings": {
-            "weights": if fleet.sizes_untold { "none" } else { "nominal" },
-            "zone": at % fleet.zones, "balancers": scenario.dispatchers.count, "discovery": "automatic",
-            "localities": localities, "flavors": ["caches", "parents", "origin"], "services": services,
-            "family_info": {
-                "second_tier_kind": 1, "root_kind": 2, "pass_through_ok": true, "shares_fills": false, "detail": "all",
-                "client_kb_per_s": KB_PER_S, "crew_by_zone": crews,
-                "pass_on": each(&|of| (of.objects == 0).into()), "fresh_for_s": each(&|_| 0.0.into()),
-                "pipe_kb_per_s": pipes,
-                "purge_done_s": 6.0, "notice_time_s": PURGE_GRACE.as_secs_f64(),
-                "parent_cold_from": if fleet.parent_cold_share > 0.0 { fleet.parent_cold_share } else { 0.07 },
-                "parent_cold_s": PARENT_COLD_S, "parent_breaks_at": PARENT_FALL_MULTIPLE, "origin_stops_at": 2.5
-            },
-            "rules": {"cold_share": fleet.cold_share, "cold_s": fleet.cold_s, "fall_multiple": FALL_MULTIPLE,
-                "overload_for_s": FALL_FOR.as_secs_f64(), "drain_grace_s": DRAIN_GRACE.as_secs_f64()},
-            "limits": {"cancel": true, "retry_after": true, "max_retry_after_s": 1.0, "max_attempts": 6,
-                "connect_timeout_s": 0.4, "streams_per_conn": 100, "conn_idle_s": 30.0}
-        }
-    })
-}
-
 /// The links of a dispatcher that faults name.
 type Links = HashMap<(Side, usize), Vec<Link>>;
 
@@ -173,7 +126,8 @@
                     .map_err(|fault| format!("{}: {fault}", operator.display()))?;
                 words.extend(["--operator".into(), operator.into_os_string()]);
             }
-            let plain = config(self.scenario, at, SocketAddr::new(own, 5050), SocketAddr::new(own, 2379));
+            let plain =
+                configuration(self.scenario, at, SocketAddr::new(own, 5050), SocketAddr::new(own, 2379));
             let (know, service) = (self.scenario.dispatchers.know, service.clone());
             let before = move || {
                 let mut written = plain.clone();
@@ -333,143 +287,6 @@
     since.elapsed()
 }
 
-/// Versions of rules, one after the other until the end, and those that are not good between them.
-async fn issue(told: Versions, stage: Arc<Stage>, until: Instant) {
-    let mut chance = StdRng::seed_from_u64(stage.world.scenario.seed.rotate_left(40));
-    let (mut number, mut after) = (0, String::new());
-    let mut due = stage.world.start();
-    let ahead_ms = (told.ahead_s * 1e3) as u64;
-    let version = |number, after: &str, from_ms, pulls: u32| Issue {
-        version: number,
-        after: after.to_string(),
-        issuer: "lab".into(),
-        issued_ms: unix_ms(),
-        from_ms,
-        rules: [("max_pulls".to_string(), json!(pulls))].into_iter().collect(),
-        floor: None,
-    };
-    while due < until {
-        tokio::time::sleep_until(due.into()).await;
-        due += Duration::from_secs_f64(told.each_s);
-        let pulls = told.max_pulls[number as usize % told.max_pulls.len().max(1)];
-        let good = version(number + 1, &after, unix_ms() + ahead_ms, pulls);
-        let at = Instant::now();
-        stage.world.issued(Issued { at, from: at + Duration::from_millis(ahead_ms), max_pulls: pulls });
-        stage.service.rules(number + 1, &json!(good), true);
-        let before = std::mem::replace(&mut after, written_digest(number + 1, good.digest()));
-        number += 1;
-        if chance.random::<f64>() < told.spoilt {
-            // Each would loosen what the good one says.
-            let spoilt = match chance.random_range(0..3) {
-                0 => version(number, &before, unix_ms() + ahead_ms + 1, 6),
-                1 => version(number.saturating_sub(4).max(1), &before, unix_ms() + ahead_ms + 2, 6),
-                _ => version(number + 1, &after, unix_ms() + 100, 6),
-            };
-            stage.service.rules(number, &json!(spoilt), false);
-        }
-    }
-}
-
-/// A fault, from its beginning to its end, with what the list tells of it.
-async fn happen(number: usize, stage: Arc<Stage>) {
-    let world = &stage.world;
-    let Some(fault) = world.scenario.faults.get(number).cloned() else { return };
-    let at = |secs: f64| tokio::time::sleep_until((world.start() + Duration::from_secs_f64(secs)).into());
-    let ends = fault.at_s + fault.for_s;
-    at(fault.at_s).await;
-    let ended = match world.scenario.whom(number) {
-        Some(Whom::All) if fault.what == What::Purge => {
-            world.purge();
-            (0..4).for_each(|group| stage.service.purge(group));
-            return stage.fleet.purge();
-        }
-        Some(Whom::All) => return stage.reconnect.send_modify(|count| *count += 1),
-        Some(Whom::Service) => {
-            stage.service.fault(Some(fault.what));
-            at(ends).await;
-            stage.service.fault(None);
-            Ok(())
-        }
-        Some(Whom::Nodes(who)) => {
-            happen_to_nodes(&fault, &who, &stage).await;
-            Ok(())
-        }
-        Some(Whom::Dispatchers(who)) => {
-            let until = world.start() + Duration::from_secs_f64(ends);
-            stage.processes.suffer(&fault, &who, until).await
-        }
-        Some(Whom::Links(side, who)) => {
-            let links: Vec<_> = who.iter().filter_map(|at| stage.links.get(&(side, *at))).flatten().collect();
-            links.iter().for_each(|link| begin(link, &fault));
-            at(ends).await;
-            links.iter().for_each(|link| end(link, fault.what));
-            Ok(())
-        }
-        None => Ok(()),
-    };
-    if let Err(why) = ended {
-        world.breach(0, why);
-    }
-}
-
-/// A fault begins on a link.
-fn begin(link: &Link, fault: &Fault) {
-    use What::*;
-    match fault.what {
-        Reset => link.reset(),
-        what => link.change(|fate| {
-            let way = match what {
-                Slow => Way::Slow(fault.by),
-                Half => Way::Half,
-                _ => Way::Held,
-            };
-            if what != CutFrom && what != Half {
-                fate.to = way;
-            }
-            if what != CutTo {
-                fate.from = way;
-            }
-        }),
-    }
-}
-
-/// It ends: what was cut is reset, what was held goes through at once.
-fn end(link: &Link, what: What) {
-    if matches!(what, What::Cut | What::CutTo | What::CutFrom) {
-        link.reset();
-    }
-    link.change(|fate| (fate.to, fate.from) = (Way::Open, Way::Open));
-}
-
-async fn happen_to_nodes(fault: &Fault, who: &str, stage: &Stage) {
-    let (world, fleet, service) = (&stage.world, &stage.fleet, &stage.service);
-    let at = |secs: f64| tokio::time::sleep_until((world.start() + Duration::from_secs_f64(secs)).into());
-    let notice = Duration::from_secs_f64(world.scenario.fleet.notice_s);
-    let nodes = fleet.named(who);
-    if fault.what == What::Drain {
-        for node in &nodes {
-            world.drain(&node.id);
-            service.list(node, "leaving", 0);
-        }
-        tokio::time::sleep(DRAINED_AFTER).await;
-    }
-    nodes.iter().for_each(|node| fleet.begin(node, fault.what, fault.by));
-    if matches!(fault.what, What::Crash | What::Drain) {
-        tokio::time::sleep(notice).await;
-        nodes.iter().for_each(|node| service.list(node, "left", 0));
-    }
-    if fault.what == What::Drain {
-        return;
-    }
-    at(fault.at_s + fault.for_s).await;
-    nodes.iter().for_each(|node| fleet.end(node, fault.what));
-    if fault.what == What::Crash {
-        let started = unix_ms();
-        tokio::time::sleep(notice).await;
-        nodes.iter().for_each(|node| service.list(node, "active", started));
-    }
-}
-
 /// The name of a scenario's file.
 pub fn name_of(path: &Path) -> String {
     path.file_stem().map_or_else(|| "scenario".into(), |stem| stem.to_string_lossy().to_string())
