--- a/src/storm/mod.rs
+++ b/src/storm/mod.rs
@@ -2,12 +2,15 @@
 //! policy (`src/policy/`) asks [`Storm::arrives`] before a download's first pull and tells [`Storm::answered`]
 //! of each final answer. No input or output; time comes with each call, chance from a seed. See docs/storms.md.
 
+mod tries;
+
 use crate::chance::Chance;
 use crate::gate::{Gate, LEVELS};
 use crate::interface::{ContentType, Download, Nanos, Repeat, StormSettings, TypeId, mix};
 use crate::ledger::Ledger;
 use crate::ring::Ring;
 use crate::state::{Claim, Dl, Stage};
+use tries::{Page, Ran, Tried};
 
 /// Recognising: what is counted covers this span, and is looked at this often.
 const SEEN_OVER: Nanos = Nanos(2_000_000_000);
@@ -38,8 +41,6 @@
 const LATE: Nanos = Nanos(1_500_000_000);
 /// Advice with no slot to be had: this part of the longest, and as much more as chance says.
 const NO_SLOT: f64 = 0.7;
-/// Tries that may wait under one fingerprint: clients behind one address that ask for the same.
-const ALIKE: usize = 4;
 
 /// The weather of one content type.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,36 +77,6 @@
     pub origin: [f64; 2],
 }
 
-/// A try that failed and may come again.
-#[derive(Debug, Clone, Copy)]
-struct Tried {
-    /// Pulls that it and those before it took.
-    pulls: u8,
-    /// When it was told to come back; zero for no word.
-    back: Nanos,
-    /// A slot is kept for it then.
-    reserved: bool,
-}
-
-/// What is remembered of tries under one fingerprint.
-#[derive(Debug, Clone, Default)]
-struct Page {
-    tried: [Option<Tried>; ALIKE],
-    /// When a repeat was last counted: who hammers counts once.
-    counted: Nanos,
-}
-
-/// What is remembered of a download that must not run twice.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Ran {
-    /// It is in hand.
-    InHand,
-    /// It may have run, or has.
-    Maybe,
-    /// It never did: it may come again.
-    Never,
-}
-
 /// One content type.
 #[derive(Debug)]
 struct Row {
@@ -377,28 +348,4 @@
     }
 }
 
-impl Page {
-    fn waits(&self) -> bool {
-        self.tried.iter().any(Option::is_some)
-    }
-
-    /// One of those alike has come back: the one whose time is nearest.
-    fn returns(&mut self, now: Nanos) -> Option<Tried> {
-        let away = |tried: &Tried| tried.back.since(now).max(now.since(tried.back));
-        let waits = self.tried.iter_mut().filter(|tried| tried.is_some());
-        waits.min_by_key(|tried| tried.as_ref().map(away)).and_then(Option::take)
-    }
-
-    /// A try waits; where too many do, it stands for one that had as many pulls or fewer.
-    fn put(&mut self, tried: Tried) {
-        let place = self.tried.iter_mut().min_by_key(|place| place.map_or(0, |held| 1 + held.pulls));
-        place.into_iter().for_each(|place| *place = Some(tried));
-    }
-
-    /// When the next of those who wait is to come.
-    fn next_back(&self) -> Option<Nanos> {
-        self.tried.iter().flatten().map(|tried| tried.back).max()
-    }
-}
-
 const _: () = assert!((Claim::EARLY as usize) >= LEVELS);
