--- a/agreement/tests/agreement/main.rs
+++ b/agreement/tests/agreement/main.rs
@@ -4,4 +4,5 @@
 mod common;
 mod core;
 mod every_ordering;
+mod ordering_model;
 mod rules;
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -14,4 +14,6 @@
 mod rules;
 mod sizes;
 mod spared;
+mod storm_day;
 mod storms;
+mod structures;
--- /dev/null
+++ b/tests/module/storm_day.rs
@@ -0,0 +1,246 @@
+//! A day for tests of retry storms: a module, clients that come back to it, and nodes that answer or don't.
+
+use crate::common::{entry, ms, settings};
+use copperroute::interface::*;
+use copperroute::policy::Dispatcher;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+
+const STEP: Nanos = Nanos(10_000_000);
+
+/// The settings of the day.
+pub fn told() -> StormSettings {
+    StormSettings {
+        remember: ms(60_000),
+        most_remembered: 20_000,
+        slots: 50,
+        newcomers: 0.2,
+        clients_mark: true,
+        doubt_unknown: false,
+        max_pulls: 6,
+    }
+}
+
+/// A client's try.
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    pub client: u64,
+    pub object: u32,
+    pub kind: u32,
+    pub tries: u32,
+    pub pulls: u32,
+    pub heeds: bool,
+}
+
+#[derive(Default)]
+struct Sent {
+    pulls: Vec<DlId>,
+    later: Vec<(DlId, Nanos)>,
+    never: Vec<DlId>,
+    free: Vec<DlId>,
+    notes: Vec<String>,
+}
+
+impl Outbox for Sent {
+    fn pull(&mut self, dl: DlId, _pull: &Pull) {
+        self.pulls.push(dl);
+    }
+    fn call_off(&mut self, _dl: DlId, _number: u32) {}
+    fn throttle(&mut self, dl: DlId, come_back: Option<Nanos>) {
+        self.later.push((dl, come_back.unwrap_or_default()));
+    }
+    fn abandon(&mut self, dl: DlId) {
+        self.never.push(dl);
+    }
+    fn arm(&mut self, _span: Nanos, _token: u64) {}
+    fn probe(&mut self, _node: NodeId) {}
+    fn follow(&mut self) {}
+    fn note(&mut self, line: &str) {
+        self.notes.push(line.to_string());
+    }
+    fn release(&mut self, dl: DlId) {
+        self.free.push(dl);
+    }
+    fn release_object(&mut self, _object: ObjectId) {}
+}
+
+/// A module, the clients that come back to it, and how nodes answer.
+pub struct Day {
+    pub module: Dispatcher,
+    pub now: Nanos,
+    pub held: HashMap<u32, (Try, u32)>,
+    pub next: u32,
+    pub free: Vec<u32>,
+    pub coming: BTreeMap<u64, Vec<Try>>,
+    pub ending: BTreeMap<u64, Vec<(u32, u32, Outcome, Nanos)>>,
+    /// Nodes are there.
+    pub up: bool,
+    /// Of a hundred pulls so many are refused.
+    pub refused: u32,
+    pub drawn: u32,
+    pub trace: String,
+    pub ok: [u32; 3],
+    pub later: u32,
+    pub never: u32,
+    pub pulls: u32,
+    pub most_pulls: u32,
+    pub heeded: [u32; 2],
+    pub work: BTreeMap<u64, f64>,
+}
+
+impl Day {
+    /// A quiet day with all nodes there.
+    pub fn new(storms: StormSettings) -> Day {
+        let mut s = Settings { storms: Some(storms), zone_dispatchers: 1, dispatchers: 1, ..settings() };
+        // Images, tables, posts.
+        (s.content_types[0].benefit, s.content_types[1].benefit, s.content_types[2].benefit) =
+            (2.0, 1.0, 3.0);
+        let module = Dispatcher::new(s);
+        let (held, free, coming, ending, work) = Default::default();
+        let mut day = Day {
+            module,
+            now: ms(1_000_000),
+            held,
+            next: 0,
+            free,
+            coming,
+            ending,
+            up: true,
+            refused: 0,
+            drawn: 0,
+            trace: String::new(),
+            ok: [0; 3],
+            later: 0,
+            never: 0,
+            pulls: 0,
+            most_pulls: 0,
+            heeded: [0; 2],
+            work,
+        };
+        day.list(Readiness::Ready, Nanos::ZERO);
+        day
+    }
+
+    /// The caches are listed so, with this start.
+    fn list(&mut self, readiness: Readiness, started: Nanos) {
+        let mut sent = Sent::default();
+        let caches = (0..3).map(|id| entry(id, 0, readiness, started));
+        let others =
+            [(3, 1), (4, 1), (5, 2)].map(|(id, kind)| entry(id, kind, Readiness::Ready, Nanos::ZERO));
+        let nodes: Vec<_> = caches.chain(others).collect();
+        self.module.nodes_changed(self.now, &nodes, &mut sent);
+    }
+
+    /// A try comes.
+    pub fn come(&mut self, tried: Try) {
+        let dl = self.free.pop().unwrap_or_else(|| {
+            self.next += 1;
+            self.next - 1
+        });
+        let hash = stable_hash(format!("object-{}", tried.object).as_bytes());
+        let d = Download {
+            dl: DlId(dl),
+            content_type: TypeId(tried.kind),
+            object: ObjectId(tried.object),
+            copy_hash: hash,
+            object_hash: hash,
+            group: None,
+            expires: self.now.after(ms(3_000)),
+            repeat: tried.tries > 0,
+            size_kb: Some([3_000.0, 500.0, 200.0][tried.kind as usize]),
+            client: tried.client,
+            body_hash: 0,
+        };
+        self.held.insert(dl, (tried, 0));
+        let mut sent = Sent::default();
+        self.module.download(self.now, &d, &mut sent);
+        self.carry(sent);
+    }
+
+    /// Plays what the module asked for.
+    fn carry(&mut self, sent: Sent) {
+        for note in sent.notes.iter().filter(|note| note.starts_with("content type")) {
+            let _ = writeln!(self.trace, "{:.1} {note}", self.now.secs() - 1_000.0);
+        }
+        for dl in sent.pulls {
+            let (tried, number) = self.held.get_mut(&dl.0).expect("held");
+            tried.pulls += 1;
+            *number += 1;
+            let (kind, number) = (tried.kind, *number - 1);
+            self.most_pulls = self.most_pulls.max(tried.pulls);
+            self.pulls += 1;
+            self.drawn = (self.drawn * 37 + 11) % 101;
+            let took = ms([300, 50, 20][kind as usize]);
+            let (outcome, after) = match self.up {
+                _ if self.drawn % 100 < self.refused => (Outcome::Refused, ms(10)),
+                true => (Outcome::Fulfilled, took),
+                false => (Outcome::Unreachable, ms(10)),
+            };
+            *self.work.entry(self.now.0 / 3_000_000_000).or_default() += took.secs();
+            self.ending.entry(self.now.after(after).0).or_default().push((dl.0, number, outcome, after));
+        }
+        for (dl, back) in sent.later {
+            self.later += 1;
+            let (mut tried, _) = self.held[&dl.0];
+            tried.tries += 1;
+            let wait = if tried.heeds { back.max(ms(100)) } else { ms(100) };
+            self.coming.entry(self.now.after(wait).0).or_default().push(tried);
+        }
+        self.never += sent.never.len() as u32;
+        for dl in sent.free {
+            self.held.remove(&dl.0);
+            self.free.push(dl.0);
+        }
+    }
+
+    /// Lets so many seconds pass, with so many first tries of each type every tenth of one.
+    pub fn pass(&mut self, seconds: u64, firsts: [u32; 3], heeds: impl Fn(u64) -> bool) {
+        for step in 0..seconds * 100 {
+            self.now = self.now.after(STEP);
+            let due: Vec<_> = self.ending.range(..=self.now.0).map(|(at, _)| *at).collect();
+            let ends: Vec<_> = due.iter().flat_map(|at| self.ending.remove(at)).flatten().collect();
+            for (dl, number, outcome, took) in ends {
+                let remark = if outcome == Outcome::Fulfilled { Remark::Hit } else { Remark::None };
+                let closed = outcome == Outcome::Fulfilled;
+                let end = PullEnd { outcome, took, closed, waited: None, remark, report: Report::default() };
+                if let Some((tried, _)) = self.held.get(&dl).filter(|_| closed) {
+                    self.ok[tried.kind as usize] += 1;
+                    self.heeded[usize::from(tried.heeds)] += 1;
+                }
+                let mut sent = Sent::default();
+                self.module.pull_ended(self.now, DlId(dl), number, &end, &mut sent);
+                self.carry(sent);
+            }
+            let due: Vec<_> = self.coming.range(..=self.now.0).map(|(at, _)| *at).collect();
+            for tried in due.iter().flat_map(|at| self.coming.remove(at)).flatten().collect::<Vec<_>>() {
+                self.come(tried);
+            }
+            if step % 10 == 0 {
+                for (kind, count) in (0..).zip(firsts) {
+                    for _ in 0..count {
+                        self.drawn += 1;
+                        let client = self.now.0 + u64::from(self.drawn);
+                        let object = (client % 50) as u32 + 50 * kind;
+                        let heeds = heeds(client);
+                        self.come(Try { client, object, kind, tries: 0, pulls: 0, heeds });
+                    }
+                }
+            }
+        }
+        let (ok, at) = (std::mem::take(&mut self.ok), self.now.secs() - 1_000.0);
+        let (later, never) = (std::mem::take(&mut self.later), std::mem::take(&mut self.never));
+        let pulls = std::mem::take(&mut self.pulls);
+        let _ = writeln!(self.trace, "{at:.0}: ok {ok:?}, later {later}, never {never}, pulls {pulls}");
+    }
+
+    /// Nodes can no longer be reached.
+    pub fn down(&mut self) {
+        self.up = false;
+    }
+
+    /// The caches are back, cold.
+    pub fn back(&mut self) {
+        self.up = true;
+        self.list(Readiness::Ready, self.now);
+    }
+}
