No import circles: attempt.rs below effects and nodes, recovery below least and results

dispatcher: effects.rs named PullRef of nodes, and nodes the effects; it stands in attempt.rs now, below both, and nodes re-exports it. lab: least.rs took two constants from results.rs, which calls least; they are the scenario's now (RECOVERED_SHARE, RECOVERED_OVER_S), as its expectations speak of recovery.

--- /dev/null
+++ b/dispatcher/src/attempt.rs
@@ -0,0 +1,13 @@
+//! The name of one attempt: which request it belongs to, and its number. It stands below effects and node connections, which
+//! both speak of attempts.
+
+use copperroute::interface::DlId;
+
+/// One attempt of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PullRef {
+    /// The request.
+    pub dl: DlId,
+    /// The number of the attempt, counted from 0 for each request.
+    pub number: u32,
+}
--- a/dispatcher/src/effects.rs
+++ b/dispatcher/src/effects.rs
@@ -1,8 +1,8 @@
 //! What passes between the event loop and the reducer: events in, effects out, and the names of connections and
 //! timers that both use.
 
+use crate::attempt::PullRef;
 use crate::config::Config;
-use crate::nodes::PullRef;
 use copperroute::interface::{DlId, Nanos};
 use copperroute_store::record::{Facts, Key};
 use std::net::{IpAddr, SocketAddr};
--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -2,6 +2,7 @@
 //! carries sockets, timers and signals to it and carries out the effects that it asks for.
 
 pub mod agreed;
+pub mod attempt;
 pub mod changes;
 pub mod clients;
 pub mod clock;
--- a/dispatcher/src/nodes/connection.rs
+++ b/dispatcher/src/nodes/connection.rs
@@ -2,15 +2,6 @@
 
 use super::*;
 
-/// One pull of a download.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PullRef {
-    /// The download.
-    pub dl: DlId,
-    /// The number of the pull.
-    pub number: u32,
-}
-
 /// A pull that was written, by the download's id.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Written {
--- a/dispatcher/src/nodes/mod.rs
+++ b/dispatcher/src/nodes/mod.rs
@@ -1,9 +1,10 @@
 //! Node connections: a few for each node, shared by its pulls.
 
+pub use crate::attempt::PullRef;
 use crate::effects::{Due, Effect, Peer};
 use crate::logs::Sparse;
 use copperroute::ids::Ids;
-use copperroute::interface::{DlId, Nanos, NodeId, Outcome, Readiness};
+use copperroute::interface::{Nanos, NodeId, Outcome, Readiness};
 use copperroute::opening::{Opening, Openings};
 use copperroute::state::Slots;
 use copperroute_protocol::hex::Hex;
@@ -32,7 +33,6 @@
 mod list;
 mod pulls;
 
-pub use connection::PullRef;
 use connection::{Connection, Written};
 
 /// A node's place in the list, and its connections.
--- a/lab/src/least.rs
+++ b/lab/src/least.rs
@@ -2,8 +2,7 @@
 //! nothing is asked for twice, and fills go in the best order, as fast as links, parents and origin carry them.
 
 use crate::nodes::PARENT_COLD_S;
-use crate::results::{BACK, BACK_OVER};
-use crate::scenario::{ContentType, Scenario, What};
+use crate::scenario::{ContentType, RECOVERED_OVER_S, RECOVERED_SHARE, Scenario, What};
 use serde::Serialize;
 
 /// One step, in seconds, and how long is looked.
@@ -87,7 +86,8 @@
         let of = &earned[from..(from + (over_s / STEP_S) as usize).min(earned.len())];
         of.iter().sum::<f64>() / of.len().max(1) as f64
     };
-    let back = (0..earned.len()).find(|from| mean(*from, BACK_OVER as f64) >= BACK * level)?;
+    let back =
+        (0..earned.len()).find(|from| mean(*from, RECOVERED_OVER_S as f64) >= RECOVERED_SHARE * level)?;
     Some(Least { back_s: back as f64 * STEP_S, after: mean(0, AFTER_S) / level })
 }
 
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -1,7 +1,7 @@
 //! What is counted while a scenario is played, second by second, and what it comes to.
 
 use crate::least::{Least, least};
-use crate::scenario::{Scenario, What};
+use crate::scenario::{RECOVERED_OVER_S, RECOVERED_SHARE, Scenario, What};
 use crate::service::Tally as ServiceTally;
 use crate::world::{Agreed, Breach, Tally};
 use hdrhistogram::Histogram;
@@ -9,9 +9,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Benefit counts as back at this part of its level, on the mean of so many seconds.
-pub const BACK: f64 = 0.95;
-pub const BACK_OVER: usize = 3;
 /// The level is taken from the last seconds before the first fault.
 const LEVEL_OVER: usize = 8;
 
@@ -212,8 +209,9 @@
             of.iter().map(|second| second.benefit).sum::<f64>() / of.len().max(1) as f64
         };
         let level = mean((begins as usize).saturating_sub(LEVEL_OVER), begins as usize);
-        let last = seconds.len().saturating_sub(BACK_OVER);
-        let back = (ends.ceil() as usize..=last).find(|from| mean(*from, from + BACK_OVER) >= BACK * level);
+        let last = seconds.len().saturating_sub(RECOVERED_OVER_S);
+        let back = (ends.ceil() as usize..=last)
+            .find(|from| mean(*from, from + RECOVERED_OVER_S) >= RECOVERED_SHARE * level);
         let back_s = back.filter(|_| !scenario.faults.is_empty()).map(|from| from as f64 - ends);
         let part = |histogram: &Histogram<u64>, unit: f64| {
             [0.5, 0.99].map(|at| histogram.value_at_quantile(at) as f64 / unit)
--- a/lab/src/scenario/expect.rs
+++ b/lab/src/scenario/expect.rs
@@ -3,6 +3,10 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+/// Benefit has recovered once it is this part of its level, on the mean of so many seconds.
+pub const RECOVERED_SHARE: f64 = 0.95;
+pub const RECOVERED_OVER_S: usize = 3;
+
 /// What must hold besides the rules.
 #[derive(Debug, Clone, Default, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -5,7 +5,7 @@
 mod fleet;
 mod targets;
 
-pub use expect::Expect;
+pub use expect::{Expect, RECOVERED_OVER_S, RECOVERED_SHARE};
 pub use faults::{Drawn, Fault, What};
 pub use fleet::{Clients, ContentType, Dispatchers, Fleet, Know, Service, Versions};
 pub use targets::{Side, Whom};
