Structures by their textbook names, in src/structures/

Ring, Wheel, Ledger, Recent and Chance are RingBuffer, TimerWheel, GenerationalMap, RecencyWindow and Random, in src/structures/ with Ids; their methods and doc comments say insert, remove, rotate and the like.

--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 
 # Times the structures of the decisions beside plain ones.
 bench:
-	cargo bench --bench storms
+	cargo bench --bench structures
--- a/benches/storms.rs
+++ b/benches/structures.rs
@@ -1,9 +1,9 @@
-//! The storm module's structures beside the plain ones: `cargo bench --bench storms`.
+//! The structures of overload control beside plain ones: `cargo bench --bench structures`.
 
 use copperroute::interface::Nanos;
-use copperroute::ledger::Ledger;
-use copperroute::ring::Ring;
-use copperroute::wheel::Wheel;
+use copperroute::structures::generational_map::GenerationalMap;
+use copperroute::structures::ring_buffer::RingBuffer;
+use copperroute::structures::timer_wheel::TimerWheel;
 use divan::{Bencher, black_box};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -22,10 +22,10 @@
 
 /// A wheel of so many slots, three quarters full; then reservations as time passes.
 #[divan::bench(args = SIZES)]
-fn slots_wheel(bencher: Bencher, slots: u64) {
+fn slots_timer_wheel(bencher: Bencher, slots: u64) {
     bencher
         .with_inputs(|| {
-            let mut wheel = Wheel::new(Nanos(slots * 1_000_000), slots as usize);
+            let mut wheel = TimerWheel::new(Nanos(slots * 1_000_000), slots as usize);
             for _ in 0..slots * 3 / 4 {
                 wheel.reserve(Nanos(SECOND), Nanos(SECOND), 1.0, |_| 1.0);
             }
@@ -68,22 +68,22 @@
         });
 }
 
-/// A ledger that holds so many; then half look-ups, half entries, with time passing.
+/// A generational map that holds so many; then half look-ups, half entries, with time passing.
 #[divan::bench(args = SIZES)]
-fn tries_ledger(bencher: Bencher, size: u64) {
+fn tries_generational_map(bencher: Bencher, size: u64) {
     bencher
         .with_inputs(|| {
-            let mut ledger = Ledger::new(Nanos(SECOND), 4 * size as usize);
-            (0..size).for_each(|at| ledger.put(Nanos(SECOND), print(at), at));
-            ledger
+            let mut map = GenerationalMap::new(Nanos(SECOND), 4 * size as usize);
+            (0..size).for_each(|at| map.insert(Nanos(SECOND), print(at), at));
+            map
         })
-        .bench_local_values(|mut ledger| {
+        .bench_local_values(|mut map| {
             for call in 0..CALLS {
                 let now = Nanos(SECOND + call * SECOND / size);
-                black_box(ledger.get(print(call * 7 % size)));
-                ledger.put(now, print(size + call), call);
+                black_box(map.get(print(call * 7 % size)));
+                map.insert(now, print(size + call), call);
             }
-            ledger
+            map
         });
 }
 
@@ -140,10 +140,10 @@
         });
 }
 
-/// Counts in a ring of eight buckets over a second in which so many come, summed at every hundredth.
+/// Counts in a ring buffer of eight buckets over a second in which so many come, summed at every hundredth.
 #[divan::bench(args = SIZES)]
-fn rate_ring(bencher: Bencher, per_second: u64) {
-    bencher.with_inputs(|| Ring::<1>::new(Nanos(SECOND), 8)).bench_local_values(|mut ring| {
+fn rate_ring_buffer(bencher: Bencher, per_second: u64) {
+    bencher.with_inputs(|| RingBuffer::<1>::new(Nanos(SECOND), 8)).bench_local_values(|mut ring| {
         for call in 0..CALLS {
             let now = Nanos(SECOND + call * SECOND / per_second);
             ring.add(now, 0, 1.0);
--- a/dispatcher/src/desk/mod.rs
+++ b/dispatcher/src/desk/mod.rs
@@ -7,11 +7,11 @@
 use crate::copies::{self, Offered};
 use crate::effects::{Due, Effect};
 use crate::nodes::{Next, Nodes, Pool, PullRef};
-use copperroute::ids::Ids;
 use copperroute::interface::{
     DlId, Download, Nanos, NodeId, ObjectId, Outbox, Outcome, Pull, PullEnd, Readiness, Remark, Report,
 };
 use copperroute::state::Slots;
+use copperroute::structures::ids::Ids;
 use copperroute_protocol::clients::{Answer, Request};
 use copperroute_protocol::hex::Hex;
 use copperroute_protocol::nodes::{self, Fetch};
--- a/dispatcher/src/nodes/mod.rs
+++ b/dispatcher/src/nodes/mod.rs
@@ -3,10 +3,10 @@
 pub use crate::attempt::PullRef;
 use crate::effects::{Due, Effect, Peer};
 use crate::logs::Sparse;
-use copperroute::ids::Ids;
 use copperroute::interface::{Nanos, NodeId, Outcome, Readiness};
 use copperroute::opening::{Opening, Openings};
 use copperroute::state::Slots;
+use copperroute::structures::ids::Ids;
 use copperroute_protocol::hex::Hex;
 use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
 use copperroute_settings::Connections;
--- a/dispatcher/tests/dispatcher/storm.rs
+++ b/dispatcher/tests/dispatcher/storm.rs
@@ -1,8 +1,8 @@
 //! Everything goes wrong at random, by a seed: the rules that connections can break still hold.
 
 use crate::common::{CONFIG, LOOPBACK, message, request};
-use copperroute::chance::Chance;
 use copperroute::interface::Nanos;
+use copperroute::structures::random::Random;
 use copperroute_dispatcher::clock::Epoch;
 use copperroute_dispatcher::config::Config;
 use copperroute_dispatcher::effects::{Due, Effect, Event, Peer};
@@ -43,7 +43,7 @@
     now: Nanos,
     later: BTreeMap<(Nanos, u64), Later>,
     count: u64,
-    chance: Chance,
+    chance: Random,
     asked: HashMap<u64, Asked>,
     nodes: HashMap<SocketAddr, String>,
     connections: HashMap<Peer, String>,
@@ -71,7 +71,7 @@
             now: Nanos(86_400_000_000_000),
             later: BTreeMap::new(),
             count: 0,
-            chance: Chance::new(seed),
+            chance: Random::new(seed),
             asked: HashMap::new(),
             nodes,
             connections: HashMap::new(),
--- a/lab/src/many.rs
+++ b/lab/src/many.rs
@@ -2,8 +2,8 @@
 //! falls over, and the program's earlier back-off beside it.
 
 use copperroute::calls::{CallSettings, Calls};
-use copperroute::chance::Chance;
 use copperroute::interface::Nanos;
+use copperroute::structures::random::Random;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
@@ -56,7 +56,7 @@
 
 enum Caller {
     Core(Box<Calls>),
-    Earlier(Chance),
+    Earlier(Random),
 }
 
 impl Caller {
@@ -83,7 +83,7 @@
     let leaves = Nanos(20 * SECOND.0);
     let returns = leaves.after(case.away);
     let until = returns.after(Nanos(60 * SECOND.0));
-    let mut chance = Chance::new(case.seed);
+    let mut chance = Random::new(case.seed);
     let mut due: BinaryHeap<Reverse<(Nanos, u32)>> = BinaryHeap::new();
     let mut callers: Vec<Caller> = (0..count)
         .map(|at| {
@@ -99,7 +99,7 @@
                 part: [zone / zones, (zone + 1.0) / zones],
             };
             let (caller, at_first) = match how {
-                How::Earlier => (Caller::Earlier(Chance::new(seed)), starts),
+                How::Earlier => (Caller::Earlier(Random::new(seed)), starts),
                 _ => {
                     let mut calls = Calls::new(settings, seed, UNIX);
                     let at_first = calls.started(starts, true);
--- a/lab/src/many_rules.rs
+++ b/lab/src/many_rules.rs
@@ -2,8 +2,8 @@
 //! agreement and for when the list service is called; streams that are lost by chance.
 
 use copperroute::calls::{CallSettings, Calls};
-use copperroute::chance::Chance;
 use copperroute::interface::{ColdStart, Nanos, Settings, ZoneId};
+use copperroute::structures::random::Random;
 use copperroute_agreement::core::Agreement;
 use copperroute_agreement::faults::Faults;
 use copperroute_agreement::issue::{Ground, Issue, written_digest};
@@ -102,7 +102,7 @@
 /// All start within a second; versions come for 90 s.
 pub fn simulate(case: &Case) -> Outcome {
     let bears = f64::from(case.dispatchers) / 5.0;
-    let mut chance = Chance::new(case.seed);
+    let mut chance = Random::new(case.seed);
     let base = RuleSet::of(&settings(), &[]);
     let floor = RuleSet::read(&base, &[], "floor", &said(2)).unwrap_or_else(|_| base.clone());
     let ground = Ground { base, types: Vec::new(), terms: TERMS, faults: Faults::default() };
--- a/protocol/tests/codecs.rs
+++ b/protocol/tests/codecs.rs
@@ -1,7 +1,7 @@
 //! The codecs, fed whole, byte by byte and in random cuts: the same messages come out.
 
-use copperroute::chance::Chance;
 use copperroute::interface::{Nanos, NodeId, Pull};
+use copperroute::structures::random::Random;
 use copperroute_protocol::hex::Hex;
 use copperroute_protocol::{changes, clients, nodes};
 use expect_test::expect;
@@ -15,7 +15,7 @@
     let whole = decode(&mut [bytes].into_iter());
     assert_eq!(whole, decode(&mut bytes.chunks(1)));
     for seed in 0..50 {
-        let (mut chance, mut rest, mut cuts) = (Chance::new(seed), bytes, Vec::new());
+        let (mut chance, mut rest, mut cuts) = (Random::new(seed), bytes, Vec::new());
         while !rest.is_empty() {
             let (cut, left) = rest.split_at(1 + (chance.share() * rest.len() as f64) as usize);
             cuts.push(cut);
@@ -283,7 +283,7 @@
         b"99999999999999999999\n",
         b"{\"seq\":2,\"invalidate\":{\"time\":-1}}\n",
     ];
-    let mut chance = Chance::new(seed);
+    let mut chance = Random::new(seed);
     let mut bytes = Vec::new();
     for _ in 0..chance.digit() % 12 {
         match chance.digit() % 20 {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -1,8 +1,8 @@
 //! The gate of a storm: how much is let in a second, who goes first, and when the others may come back.
 
 use crate::interface::Nanos;
-use crate::ring::Ring;
-use crate::wheel::Wheel;
+use crate::structures::ring_buffer::RingBuffer;
+use crate::structures::timer_wheel::TimerWheel;
 
 /// Levels of benefit for the work, doubling from one to the next; the last is for those who come at their time.
 pub const LEVELS: usize = 16;
@@ -45,11 +45,11 @@
     /// The same for each content type alone.
     floors: Vec<f64>,
     /// Work asked for by level.
-    asked: Ring<LEVELS>,
+    asked: RingBuffer<LEVELS>,
     /// Levels over this one are let in, and this part of it.
     cut: (u8, f64),
-    ended: Ring<2>,
-    wheel: Wheel,
+    ended: RingBuffer<2>,
+    wheel: TimerWheel,
     /// What was not used of the pace is kept for so long: as long as what bears it is judged over, in seconds.
     saved: f64,
     /// The part of the pace that is not given away beforehand.
@@ -70,10 +70,10 @@
             borne: 1.0,
             tokens: 0.0,
             floors: vec![0.0; types],
-            asked: Ring::new(ASKED_OVER, BUCKETS),
+            asked: RingBuffer::new(ASKED_OVER, BUCKETS),
             cut: (0, 1.0),
-            ended: Ring::new(JUDGED_OVER, BUCKETS),
-            wheel: Wheel::new(longest, slots),
+            ended: RingBuffer::new(JUDGED_OVER, BUCKETS),
+            wheel: TimerWheel::new(longest, slots),
             saved: saved.secs(),
             newcomers,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,25 +3,24 @@
 //! adapter calls [`policy::Dispatcher`] and hands it an [`interface::Outbox`] to answer through.
 
 pub mod calls;
-pub mod chance;
 pub mod cold;
 pub mod conduct;
-
 pub mod gate;
-pub mod ids;
 pub mod interface;
-pub mod ledger;
 pub mod link;
 pub mod nodes;
 pub mod opening;
 pub mod policy;
 pub mod purges;
-pub mod recent;
 pub mod repeat;
-pub mod ring;
 pub mod size;
 pub mod spare;
 pub mod state;
 pub mod storm;
+pub mod structures;
 pub mod under;
-pub mod wheel;
+
+/// The older path of the random numbers; new code names [`structures::random`].
+pub mod chance {
+    pub use crate::structures::random::Random as Chance;
+}
--- a/src/link.rs
+++ b/src/link.rs
@@ -6,7 +6,7 @@
 //! caches, slow parents, huge objects and full caches.
 
 use crate::interface::{Nanos, Settings};
-use crate::ring::Ring;
+use crate::structures::ring_buffer::RingBuffer;
 
 /// Fills are judged over this.
 const JUDGED_OVER: Nanos = Nanos(2_000_000_000);
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub struct Link {
     /// Time own fills took to send, what is fair for that, and how long they waited first.
-    pace: Ring<3>,
+    pace: RingBuffer<3>,
     /// Own fills out.
     out: f64,
     /// How many there may be; 0 until the first.
@@ -43,7 +43,7 @@
 
 impl Default for Link {
     fn default() -> Self {
-        Link { pace: Ring::new(JUDGED_OVER, BUCKETS), out: 0.0, limit: 0.0, part: 0.0, most: 0.0 }
+        Link { pace: RingBuffer::new(JUDGED_OVER, BUCKETS), out: 0.0, limit: 0.0, part: 0.0, most: 0.0 }
     }
 }
 
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -2,9 +2,9 @@
 
 use crate::cold::TokenBucket;
 use crate::interface::{Nanos, NodeEntry, NodeId, Readiness, Report, ZoneId, mix};
-use crate::ring::Ring;
 use crate::size::{PROBE_PARENTS, Size, Sizes};
 use crate::state::{Sent, Slots};
+use crate::structures::ring_buffer::RingBuffer;
 
 /// A node and what was seen of it.
 #[derive(Debug, Clone)]
@@ -15,10 +15,10 @@
     pub listed: bool,
     /// When it last started, told or judged; zero for long ago.
     pub started: Nanos,
-    /// Recent pulls that worked and that failed.
-    pub ended: Ring<2>,
+    /// RecencyWindow pulls that worked and that failed.
+    pub ended: RingBuffer<2>,
     /// What its recent hits took, and their sending time; load reports count as hits.
-    pub pace: Ring<2>,
+    pub pace: RingBuffer<2>,
     /// What it has shown that it can do.
     pub size: Size,
     /// Failures since anything worked.
@@ -46,8 +46,8 @@
             e,
             listed: e.readiness == Readiness::Ready,
             started: e.started,
-            ended: Ring::new(judged_over, buckets),
-            pace: Ring::new(judged_over, buckets),
+            ended: RingBuffer::new(judged_over, buckets),
+            pace: RingBuffer::new(judged_over, buckets),
             bucket: TokenBucket::default(),
             size: Size::default(),
             in_row: 0,
--- a/src/opening.rs
+++ b/src/opening.rs
@@ -7,8 +7,8 @@
 //! it was turned away in a row, by chance, until its own is taken; and while any node turns some away the dispatcher
 //! holds one connection to each node, since the others need as much.
 
-use crate::chance::Chance;
 use crate::interface::{Nanos, mix};
+use crate::structures::random::Random;
 
 /// Connections to one node while none is turned away: what is on one ends with it.
 const HELD: usize = 4;
@@ -39,14 +39,14 @@
 /// One dispatcher's connections to all nodes.
 #[derive(Debug)]
 pub struct Openings {
-    chance: Chance,
+    random: Random,
     spared_until: Nanos,
 }
 
 impl Openings {
     /// Nothing was turned away yet.
     pub fn new(seed: u64) -> Self {
-        Openings { chance: Chance::new(mix(seed)), spared_until: Nanos::ZERO }
+        Openings { random: Random::new(mix(seed)), spared_until: Nanos::ZERO }
     }
 
     /// Whether connections are spared: one for each node, for as long as it will do.
@@ -65,7 +65,7 @@
         of.in_row = of.in_row.saturating_add(1);
         let doubled = of.in_row.checked_sub(ROW)?;
         let longest = LONGEST.0.min(WAIT.0 << doubled.min(16));
-        of.until = now.after(Nanos((longest as f64 * (0.5 + 0.5 * self.chance.share())) as u64));
+        of.until = now.after(Nanos((longest as f64 * (0.5 + 0.5 * self.random.share())) as u64));
         self.spared_until = now.after(SPARED);
         Some(of.until)
     }
--- a/src/policy/ends.rs
+++ b/src/policy/ends.rs
@@ -59,13 +59,13 @@
             // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
             let nowhere = (end.outcome == NotHeld && !missed && !lacks) || end.remark == Remark::OriginFailed;
             // The look after it leaves room for a fill of its own.
-            let wait = if dl.rides.is_some() { self.fill_usual_s * (0.5 + self.chance.share()) } else { 0.0 };
+            let wait = if dl.rides.is_some() { self.fill_usual_s * (0.5 + self.random.share()) } else { 0.0 };
             let in_time = dl.d.expires.since(now).secs() > wait + dl.work_s;
             let rides = allowed && dl.rides.is_some() && in_time && pulls + 2 <= most;
             self.dls.get_mut(id.0).filter(|_| !rides).into_iter().for_each(|dl| dl.rides = None);
             if rides {
                 out.arm(Nanos::from_secs(wait), u64::from(id.0) << 32 | u64::from(LOOK_AGAIN));
-            } else if allowed && !nowhere && (missed || lacks || self.chance.share() < share * storm) {
+            } else if allowed && !nowhere && (missed || lacks || self.random.share() < share * storm) {
                 self.pull(now, id, out);
             } else {
                 self.give_up(now, id, out);
@@ -175,7 +175,7 @@
     /// Sets a node aside for a fixed time and a random part; then it is tried with one pull first. One
     /// that may have died comes back cold, told or not, and is treated so.
     pub(super) fn set_aside(&mut self, now: Nanos, id: NodeId, died: bool, out: &mut impl Outbox) {
-        let aside = ASIDE.after(Nanos::from_secs(ASIDE_SPREAD_S * self.chance.share()));
+        let aside = ASIDE.after(Nanos::from_secs(ASIDE_SPREAD_S * self.random.share()));
         let Some(n) = self.nodes.get_mut(id).filter(|n| n.aside_until <= now) else { return };
         n.aside_until = now.after(aside);
         n.on_trial = true;
--- a/src/policy/fill.rs
+++ b/src/policy/fill.rs
@@ -5,7 +5,7 @@
 impl Dispatcher {
     /// Whether the location's link has room for a fill of this.
     pub(super) fn link_has_room(&mut self, now: Nanos, dl: &Dl) -> bool {
-        let (size, draw) = (dl.work_s / self.row(&dl.d).mean_work_s, self.chance.share());
+        let (size, draw) = (dl.work_s / self.row(&dl.d).mean_work_s, self.random.share());
         self.link.has_room(now, self.s.zone_dispatchers, size, draw)
     }
 
@@ -90,6 +90,6 @@
         // What MC3 ranks high is fetched first, so that hits come back; rank 4 stands for uncacheable. Of all
         // locations the first in the copy's order fetch it, and the others ask those.
         let power = [4.0, 2.0, 1.0, 0.5, 0.0][usize::from(rank.min(4))];
-        !closed && self.nodes.turn(dl.d.copy_hash, self.chance.share()) < self.origin.share(now).powf(power)
+        !closed && self.nodes.turn(dl.d.copy_hash, self.random.share()) < self.origin.share(now).powf(power)
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,17 +2,17 @@
 //! a method for each thing that happens. The module answers through the `Outbox` it is handed, before the
 //! call returns. Words and trait: `src/interface.rs`.
 
-use crate::chance::Chance;
 use crate::cold::{Rate, one_place};
 use crate::interface::*;
 use crate::link::Link;
 use crate::nodes::{Node, Nodes};
 use crate::purges::{Purged, Purges};
-use crate::ring::Ring;
 use crate::size::PROBE_EVERY;
 use crate::spare::Origin;
 use crate::state::*;
 use crate::storm::{Admission, Storm, Supply};
+use crate::structures::random::Random;
+use crate::structures::ring_buffer::RingBuffer;
 use crate::under::Under;
 
 mod ends;
@@ -71,13 +71,13 @@
     shadows: Shadows,
     fills: Fills, // kept fills by their ratio
     link: Link,
-    fill_usual_s: f64, // of fills that worked, from send to end
-    origin: Origin,    // how far it is spared
-    further: Ring<2>,  // further pulls that worked, that failed
+    fill_usual_s: f64,      // of fills that worked, from send to end
+    origin: Origin,         // how far it is spared
+    further: RingBuffer<2>, // further pulls that worked, that failed
     purges: Purges,
     storm: Option<Storm>, // off unless the operators tell of storms
     again: Nanos,         // when the cold node that was asked last bears a pull of this one's
-    chance: Chance,
+    random: Random,
     serial: u32,
 }
 
@@ -95,11 +95,11 @@
             link: Link::default(),
             fill_usual_s: FILL_USUAL_S,
             origin: Origin::new(),
-            further: Ring::new(JUDGED_OVER, BUCKETS),
+            further: RingBuffer::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
             storm: s.storms.map(storm),
             again: Nanos::ZERO,
-            chance: Chance::new(s.seed),
+            random: Random::new(s.seed),
             serial: 0,
             s,
         }
@@ -130,7 +130,7 @@
 
     /// Asks a node at random what it is doing.
     fn probe(&mut self, out: &mut impl Outbox) {
-        let asked = self.nodes.drawn([self.chance.share(), self.chance.share()]);
+        let asked = self.nodes.drawn([self.random.share(), self.random.share()]);
         asked.into_iter().for_each(|id| out.probe(id));
         out.arm(PROBE_EVERY, PROBE_DUE);
     }
--- a/src/policy/ordinary.rs
+++ b/src/policy/ordinary.rs
@@ -141,7 +141,7 @@
         // Of Z dispatchers all but one in Z of what is new to one is taken as the location's second download.
         let z = f64::from(self.s.zone_dispatchers.max(1));
         let Some(gap_s) = shadow.gap_s else {
-            return Keep { fill_rank: u8::from(self.chance.share() * z >= 1.0), ratio: 1.0, hit_rank: 0 };
+            return Keep { fill_rank: u8::from(self.random.share() * z >= 1.0), ratio: 1.0, hit_rank: 0 };
         };
         let (storage_cost, rate) = (1.0 / HORIZON_S, z / gap_s);
         let keep_benefit = shadow.hops * rate - storage_cost;
--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -15,7 +15,7 @@
         let Some(n) = self.nodes.get_mut(id) else { return false };
         let chance = n.bucket.spend(now, &rate, work_s);
         self.again = n.bucket.until(&rate, work_s);
-        chance > 0.0 && self.chance.share() < chance
+        chance > 0.0 && self.random.share() < chance
     }
 
     /// How a node starts, and how many dispatchers ask it.
@@ -88,7 +88,7 @@
         }
         dl.stage = to;
         let wait_s = COME_BACK_S.max(COME_BACK_SHARE * std::mem::take(&mut self.again).secs());
-        let advice = Nanos::from_secs(wait_s * (1.0 + self.chance.share()));
+        let advice = Nanos::from_secs(wait_s * (1.0 + self.random.share()));
         let advice = self.answered(now, id, to).unwrap_or(advice);
         match to {
             Throttled => out.throttle(id, self.s.come_back.then_some(advice.min(self.s.max_come_back))),
--- a/src/size.rs
+++ b/src/size.rs
@@ -8,7 +8,7 @@
 //! stands in for one that has shown nothing, so a cold node has the size of its like.
 
 use crate::interface::Nanos;
-use crate::ring::Ring;
+use crate::structures::ring_buffer::RingBuffer;
 
 /// Where sizes are not told and nodes may be probed, each dispatcher asks one so often, and of those this part are
 /// parents. A fleet of 25 then makes one probe for some fifty downloads.
@@ -70,13 +70,13 @@
     told: bool,
     kinds: Vec<Shown>,
     /// Own pulls at caches: what they took, and what of that they waited for a source.
-    held: Ring<2>,
+    held: RingBuffer<2>,
 }
 
 impl Sizes {
     /// Of a list that tells sizes, or gives every node the same.
     pub fn new(told: bool) -> Self {
-        Sizes { told, kinds: Vec::new(), held: Ring::new(SEEN_OVER, BUCKETS) }
+        Sizes { told, kinds: Vec::new(), held: RingBuffer::new(SEEN_OVER, BUCKETS) }
     }
 
     fn kind(&self, kind: u32) -> f64 {
--- a/src/spare.rs
+++ b/src/spare.rs
@@ -7,7 +7,7 @@
 //! was measured and lost, docs/cold-start.md.)
 
 use crate::interface::Nanos;
-use crate::ring::Ring;
+use crate::structures::ring_buffer::RingBuffer;
 
 /// Fetches are judged over this.
 const JUDGED_OVER: Nanos = Nanos(2_000_000_000);
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub struct Origin {
     /// Fetches that came in time, and that were late, refused or overdue.
-    fetches: Ring<2>,
+    fetches: RingBuffer<2>,
     usual_s: f64,
 }
 
@@ -38,7 +38,7 @@
 impl Origin {
     /// One of which nothing was seen.
     pub fn new() -> Self {
-        Origin { fetches: Ring::new(JUDGED_OVER, BUCKETS), usual_s: USUAL_S }
+        Origin { fetches: RingBuffer::new(JUDGED_OVER, BUCKETS), usual_s: USUAL_S }
     }
 
     /// What a fetch usually takes to begin, in seconds.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,8 @@
 //! What a dispatcher keeps of its downloads and objects. State only: nothing here decides.
 
 use crate::interface::{ContentType, Download, Nanos, NodeId, ObjectId};
-use crate::recent::Recent;
-use crate::ring::Ring;
+use crate::structures::recency_window::RecencyWindow;
+use crate::structures::ring_buffer::RingBuffer;
 use crate::under::Under;
 
 /// Values at small indices.
@@ -176,14 +176,14 @@
     }
 }
 
-/// Recent kept fills, counted by the quarter powers of two of hops times rate over storage cost.
+/// RecencyWindow kept fills, counted by the quarter powers of two of hops times rate over storage cost.
 #[derive(Debug)]
-pub struct Fills(Ring<64>);
+pub struct Fills(RingBuffer<64>);
 
 impl Fills {
     /// None yet; counted over a window.
     pub fn new(seen_over: Nanos, buckets: usize) -> Self {
-        Fills(Ring::new(seen_over, buckets))
+        Fills(RingBuffer::new(seen_over, buckets))
     }
 
     fn place(ratio: f64) -> usize {
@@ -221,13 +221,13 @@
 #[derive(Debug, Default)]
 pub struct Shadows {
     slots: Slots<Shadow>,
-    order: Recent,
+    order: RecencyWindow,
 }
 
 impl Shadows {
     /// Whether there is an entry for this object.
     pub fn holds(&self, id: ObjectId) -> bool {
-        self.order.holds(id.0)
+        self.order.contains(id.0)
     }
 
     /// The entry of an object.
@@ -243,7 +243,7 @@
     /// Puts an entry and returns what had to leave so that there are no more than `most`.
     pub fn put(&mut self, id: ObjectId, entry: Shadow, most: usize) -> Option<ObjectId> {
         let full = !self.holds(id) && self.order.len() >= most;
-        let dropped = full.then(|| self.order.drop_oldest()).flatten();
+        let dropped = full.then(|| self.order.pop_oldest()).flatten();
         self.slots.put(id.0, entry);
         self.order.touch(id.0);
         dropped.map(ObjectId)
--- a/src/storm/mod.rs
+++ b/src/storm/mod.rs
@@ -4,12 +4,12 @@
 
 mod tries;
 
-use crate::chance::Chance;
 use crate::gate::{Gate, LEVELS};
 use crate::interface::{ContentType, Download, Nanos, Repeat, StormSettings, TypeId, mix};
-use crate::ledger::Ledger;
-use crate::ring::Ring;
 use crate::state::{Claim, Dl, Stage};
+use crate::structures::generational_map::GenerationalMap;
+use crate::structures::random::Random;
+use crate::structures::ring_buffer::RingBuffer;
 use tries::{Page, Ran, Tried};
 
 /// Recognising: what is counted covers this span, and is looked at this often.
@@ -85,9 +85,9 @@
     /// The weather that signs speak for, and since when without a break.
     signs: (Weather, Nanos),
     /// First tries, repeats by different downloads, those served, those not.
-    seen: Ring<4>,
+    seen: RingBuffer<4>,
     /// Of those let in by the gate: served in time, and not.
-    let_in: Ring<2>,
+    let_in: RingBuffer<2>,
 }
 
 /// The decisions on storms of one dispatcher.
@@ -98,9 +98,9 @@
     rows: Vec<Row>,
     /// To the caches, and to the origin.
     gates: [Gate; 2],
-    pages: Ledger<Page>,
-    once: Ledger<Ran>,
-    chance: Chance,
+    pages: GenerationalMap<Page>,
+    once: GenerationalMap<Ran>,
+    random: Random,
     born: Option<Nanos>,
     looked: Nanos,
 }
@@ -112,17 +112,17 @@
             told: told.clone(),
             weather: Weather::Calm,
             signs: (Weather::Calm, Nanos::ZERO),
-            seen: Ring::new(SEEN_OVER, BUCKETS),
-            let_in: Ring::new(SEEN_OVER, BUCKETS),
+            seen: RingBuffer::new(SEEN_OVER, BUCKETS),
+            let_in: RingBuffer::new(SEEN_OVER, BUCKETS),
         };
         let gate = |_| Gate::new(types.len(), longest, window, s.slots, s.newcomers);
         Storm {
             longest,
             rows: types.iter().map(row).collect(),
             gates: [0, 1].map(gate),
-            pages: Ledger::new(s.remember, s.most_remembered),
-            once: Ledger::new(s.remember, s.most_remembered),
-            chance: Chance::new(seed.rotate_left(17)),
+            pages: GenerationalMap::new(s.remember, s.most_remembered),
+            once: GenerationalMap::new(s.remember, s.most_remembered),
+            random: Random::new(seed.rotate_left(17)),
             born: None,
             looked: Nanos::ZERO,
             s,
@@ -152,8 +152,8 @@
     /// Looks around: judges the weather anew and sets the pace. Tells of a change of weather.
     pub fn look(&mut self, now: Nanos, supply: Supply) -> Option<(TypeId, Weather, Weather)> {
         self.looked = now;
-        self.pages.turn(now);
-        self.once.turn(now);
+        self.pages.rotate(now);
+        self.once.rotate(now);
         self.gates[0].look(now, supply.caches, supply.past);
         self.gates[1].look(now, supply.origin, false);
         (0..self.rows.len()).find_map(|at| self.judge(now, at))
@@ -209,7 +209,7 @@
             let repeats = d.repeat || !self.s.clients_mark;
             // Nobody knows what was in hand before a start, nor what had to be forgotten: that may have run.
             let unknown =
-                now.since(born) < self.s.remember || self.once.has_gaps(now) || self.s.doubt_unknown;
+                now.since(born) < self.s.remember || self.once.has_lost_entries(now) || self.s.doubt_unknown;
             let may_have_run = match self.once.get(print) {
                 Some(Ran::InHand | Ran::Maybe) => repeats,
                 Some(Ran::Never) => false,
@@ -237,11 +237,11 @@
         // Who comes before its time gains nothing by it: the same word again, and no new slot.
         if let Some(early) = told.filter(|tried| damped && tried.back > now.after(EARLY)) {
             page.put(early);
-            self.pages.put(now, print, page);
+            self.pages.insert(now, print, page);
             return Admission::Later(Claim { level: Claim::EARLY, ..claim });
         }
         if repeat {
-            self.pages.put(now, print, page);
+            self.pages.insert(now, print, page);
         }
         if u32::from(claim.spent) >= self.s.max_pulls {
             return Admission::Never(claim);
@@ -251,14 +251,14 @@
         let gate = self.gate_of(d.content_type);
         self.gates[gate].asked(now, claim.level, work_s);
         if damped {
-            let draw = self.chance.share();
+            let draw = self.random.share();
             if !self.gates[gate].lets_in(at, claim.level, work_s, draw) {
                 return Admission::Later(claim);
             }
             claim.damped = true;
         }
         if self.rows[at].is_once() {
-            self.once.put(now, print, Ran::InHand);
+            self.once.insert(now, print, Ran::InHand);
         }
         Admission::Take(claim)
     }
@@ -292,7 +292,7 @@
         }
         if row.is_once() {
             // It is throttled only where no pull has run.
-            self.once.put(now, claim.print, Ran::Never);
+            self.once.insert(now, claim.print, Ran::Never);
         }
         if claim.level == Claim::EARLY {
             let back = self.pages.get(claim.print).and_then(Page::next_back);
@@ -309,7 +309,7 @@
     /// When to come back, and whether a slot is kept: the first with room, somewhere within it; where there is
     /// none, chance spreads those who ask again.
     fn slot(&mut self, now: Nanos, gate: usize, level: u8, work_s: f64) -> (Nanos, bool) {
-        let draw = self.chance.share();
+        let draw = self.random.share();
         match self.gates[gate].reserve(now, level, work_s, draw) {
             Some(back) => (back.min(now.after(self.longest)), true),
             None => {
@@ -319,9 +319,9 @@
     }
 
     fn remember(&mut self, now: Nanos, print: u64, tried: Tried) {
-        let mut page = self.pages.take(print).unwrap_or_default();
+        let mut page = self.pages.remove(print).unwrap_or_default();
         page.put(tried);
-        self.pages.put(now, print, page);
+        self.pages.insert(now, print, page);
     }
 
     /// All pulls of an answered download are in: whether it may have run is known as well as it ever will be.
@@ -329,7 +329,7 @@
         let row = &self.rows[dl.d.content_type.0 as usize];
         if row.is_once() && self.once.get(dl.claim.print) == Some(&Ran::InHand) {
             let ran = dl.may_have_run.is_some() || dl.stage == Stage::Fulfilled;
-            self.once.put(now, dl.claim.print, if ran { Ran::Maybe } else { Ran::Never });
+            self.once.insert(now, dl.claim.print, if ran { Ran::Maybe } else { Ran::Never });
         }
     }
 }
--- a/src/ids.rs
+++ b/src/structures/ids.rs
@@ -1,9 +1,9 @@
-//! Outside ids mapped to small indices: slots that are handed out lowest first and used again once released.
+//! External ids mapped to small indices (slots), which are reused once released.
 
 use std::collections::HashMap;
 use std::hash::Hash;
 
-/// The slots of one kind of id.
+/// A map from external ids of one kind to slots.
 #[derive(Debug, Clone)]
 pub struct Ids<K> {
     slot_by_key: HashMap<K, u32>,
--- a/src/recent.rs
+++ b/src/structures/recency_window.rs
@@ -1,10 +1,11 @@
-//! The order in which small indices were last touched: a linked list laid over their slots.
+//! The most recently used of a set of small indices: an LRU list, doubly linked through an array of slots.
 
 const NONE: u32 = u32::MAX;
 
-/// Keeps indices from the most to the least recently touched.
+/// Indices in the order of their last use, most recent first.
 #[derive(Debug, Clone)]
-pub struct Recent {
+pub struct RecencyWindow {
+    /// The neighbours of each index: the more recent one, the less recent one.
     links: Vec<(u32, u32)>,
     listed: Vec<bool>,
     head: u32,
@@ -12,29 +13,29 @@
     len: usize,
 }
 
-impl Default for Recent {
+impl Default for RecencyWindow {
     fn default() -> Self {
-        Recent { links: Vec::new(), listed: Vec::new(), head: NONE, tail: NONE, len: 0 }
+        RecencyWindow { links: Vec::new(), listed: Vec::new(), head: NONE, tail: NONE, len: 0 }
     }
 }
 
-impl Recent {
-    /// How many indices are listed.
+impl RecencyWindow {
+    /// The number of indices in the window.
     pub fn len(&self) -> usize {
         self.len
     }
 
-    /// Whether none is listed.
+    /// Whether the window is empty.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
-    /// Whether `index` is listed.
-    pub fn holds(&self, index: u32) -> bool {
+    /// Whether `index` is in the window.
+    pub fn contains(&self, index: u32) -> bool {
         self.listed.get(index as usize).copied().unwrap_or(false)
     }
 
-    /// Lists `index` as the most recent.
+    /// Makes `index` the most recent, adding it if it is not in the window.
     pub fn touch(&mut self, index: u32) {
         let at = index as usize;
         if at >= self.links.len() {
@@ -55,8 +56,8 @@
         self.len += 1;
     }
 
-    /// Takes the least recent index off the list.
-    pub fn drop_oldest(&mut self) -> Option<u32> {
+    /// Removes the least recent index and returns it.
+    pub fn pop_oldest(&mut self) -> Option<u32> {
         if self.tail == NONE {
             return None;
         }
--- a/src/ring.rs
+++ b/src/structures/ring_buffer.rs
@@ -1,24 +1,27 @@
-//! Sums over the recent past: fixed buckets of time, used again in a ring.
+//! Sums over a sliding window of time: a ring buffer of buckets, each reused once the window has passed it.
 
 use crate::interface::Nanos;
 
-/// `N` running sums over a window made of equal buckets of time.
+/// `N` running sums over a sliding window that is divided into equal buckets of time.
 #[derive(Debug, Clone)]
-pub struct Ring<const N: usize> {
+pub struct RingBuffer<const N: usize> {
+    /// The length of a bucket, in nanoseconds.
     width: u64,
+    /// The number of the newest bucket, counted from the clock's start.
     newest: u64,
     buckets: Vec<[f64; N]>,
 }
 
-impl<const N: usize> Ring<N> {
-    /// A ring that covers `window` in `buckets` pieces.
+impl<const N: usize> RingBuffer<N> {
+    /// An empty buffer that covers `window` with `buckets` buckets.
     pub fn new(window: Nanos, buckets: usize) -> Self {
         let buckets = buckets.max(1);
         let width = (window.0 / buckets as u64).max(1);
-        Ring { width, newest: 0, buckets: vec![[0.0; N]; buckets] }
+        RingBuffer { width, newest: 0, buckets: vec![[0.0; N]; buckets] }
     }
 
-    fn turn(&mut self, now: Nanos) {
+    /// Moves on to the bucket of `now` and clears those that are reused.
+    fn advance(&mut self, now: Nanos) {
         let at = now.0 / self.width;
         let len = self.buckets.len() as u64;
         if at > self.newest {
@@ -29,9 +32,9 @@
         }
     }
 
-    /// Adds to sum `which` at `now`.
+    /// Adds `value` to sum number `which` at `now`.
     pub fn add(&mut self, now: Nanos, which: usize, value: f64) {
-        self.turn(now);
+        self.advance(now);
         let at = (self.newest % self.buckets.len() as u64) as usize;
         self.buckets[at][which] += value;
     }
@@ -51,7 +54,7 @@
         total
     }
 
-    /// Forgets everything.
+    /// Resets all sums to zero.
     pub fn clear(&mut self) {
         self.buckets.fill([0.0; N]);
     }
--- a/store/benches/tiers.rs
+++ b/store/benches/tiers.rs
@@ -1,8 +1,8 @@
 //! What tiers and rules of admission are worth, and what the disk costs: `cargo bench -p copperroute-store --bench tiers`.
 //! Prints tables; times are of this machine, to be read beside each other.
 
-use copperroute::chance::Chance;
 use copperroute::interface::mix;
+use copperroute::structures::random::Random;
 use copperroute_store::admission::{Seen, Tier};
 use copperroute_store::disk::{Disk, Limits, Sync};
 use copperroute_store::memory::Memory;
@@ -35,7 +35,7 @@
 
 /// A day of downloads: objects asked for by rank, one in eight of them new and never asked for again.
 fn day() -> Vec<u64> {
-    let mut chance = Chance::new(7);
+    let mut chance = Random::new(7);
     let once = |at: u32| 1 << 40 | u64::from(at);
     let asked = |at| if chance.share() < 0.125 { once(at) } else { OBJECTS.powf(chance.share()) as u64 };
     (0..DOWNLOADS).map(asked).collect()
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -1,11 +1,11 @@
 //! What cold nodes are sent: by one dispatcher, and by the sum of hundreds.
 
 use crate::common::*;
-use copperroute::chance::Chance;
 use copperroute::cold::{Rate, TokenBucket, one_place};
 use copperroute::interface::*;
 use copperroute::spare::Origin;
 use copperroute::state::TypeRow;
+use copperroute::structures::random::Random;
 use expect_test::expect;
 use proptest::prelude::*;
 
@@ -18,7 +18,7 @@
 
 /// Work that so many dispatchers send a cold node that can do 2.4 s of it a second, each asked so often, in a minute.
 fn sent_by(dispatchers: u32, every_ms: u64, work_s: f64) -> f64 {
-    let mut chance = Chance::new(u64::from(dispatchers));
+    let mut chance = Random::new(u64::from(dispatchers));
     let mut sent = 0.0;
     for _ in 0..dispatchers {
         let mut bucket = TokenBucket::default();
--- a/tests/module/cold_sum.rs
+++ b/tests/module/cold_sum.rs
@@ -3,9 +3,9 @@
 //! it be asked for then.
 
 use crate::common::*;
-use copperroute::chance::Chance;
 use copperroute::interface::*;
 use copperroute::policy::Dispatcher;
+use copperroute::structures::random::Random;
 use std::collections::BTreeMap;
 
 /// A node that starts, and how it is asked.
@@ -97,7 +97,7 @@
 
     /// The moments at which calls come to the cold cache and to the cold parent.
     fn play(&self, seed: u64) -> [Vec<Nanos>; 2] {
-        let mut chance = Chance::new(seed);
+        let mut chance = Random::new(seed);
         let mut fleet: Vec<_> = (0..self.dispatchers)
             .map(|at| self.begin(ms(1), seed << 16 | u64::from(at), Nanos::ZERO))
             .collect();
--- a/tests/module/structures.rs
+++ b/tests/module/structures.rs
@@ -2,16 +2,16 @@
 
 use crate::common::ms;
 use copperroute::interface::Nanos;
-use copperroute::ledger::Ledger;
-use copperroute::wheel::Wheel;
+use copperroute::structures::generational_map::GenerationalMap;
+use copperroute::structures::timer_wheel::TimerWheel;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 
 proptest! {
     #[test]
-    fn a_wheel_holds_what_a_plain_map_of_slots_does(asks in prop::collection::vec((0_u64..40, 0_u64..900, 1_u32..30), 1..200)) {
+    fn a_timer_wheel_holds_what_a_plain_map_of_slots_does(asks in prop::collection::vec((0_u64..40, 0_u64..900, 1_u32..30), 1..200)) {
         let (width, slots) = (20_000_000_u64, 50_u64);
-        let mut wheel = Wheel::new(Nanos(width * slots), slots as usize);
+        let mut wheel = TimerWheel::new(Nanos(width * slots), slots as usize);
         let mut plain: BTreeMap<u64, f64> = BTreeMap::new();
         let mut now = 1_000_000_000_u64;
         for (pass, earliest, work) in asks {
@@ -38,39 +38,39 @@
     }
 
     #[test]
-    fn a_ledger_keeps_for_its_span_and_never_twice_that(steps in prop::collection::vec((0_u64..400, 0_u64..30, any::<bool>()), 1..300)) {
+    fn a_generational_map_keeps_for_its_span_and_never_twice_that(steps in prop::collection::vec((0_u64..400, 0_u64..30, any::<bool>()), 1..300)) {
         let span = ms(1_000);
-        let mut ledger = Ledger::new(span, 1_000);
+        let mut map = GenerationalMap::new(span, 1_000);
         let mut plain: HashMap<u64, (u64, usize)> = HashMap::new();
         let mut now = ms(10_000);
         for (number, (pass, print, put)) in steps.into_iter().enumerate() {
             now = now.after(ms(pass));
-            ledger.turn(now);
+            map.rotate(now);
             if put {
-                ledger.put(now, print, number);
+                map.insert(now, print, number);
                 plain.insert(print, (now.0, number));
             }
             for (print, (at, number)) in &plain {
                 let age = now.0 - at;
-                match ledger.get(*print) {
+                match map.get(*print) {
                     Some(kept) => prop_assert!(kept == number && age < 2 * span.0 + ms(400).0),
                     None => prop_assert!(age >= span.0),
                 }
             }
-            prop_assert!(!ledger.has_gaps(now));
+            prop_assert!(!map.has_lost_entries(now));
         }
     }
 
     #[test]
-    fn a_ledger_is_bounded_and_says_what_it_lost(prints in prop::collection::vec(0_u64..5_000, 1..2_000)) {
-        let mut ledger = Ledger::new(ms(1_000), 100);
+    fn a_generational_map_is_bounded_and_says_what_it_lost(prints in prop::collection::vec(0_u64..5_000, 1..2_000)) {
+        let mut map = GenerationalMap::new(ms(1_000), 100);
         let mut plain = HashMap::new();
         for (number, print) in prints.into_iter().enumerate() {
             let now = ms(10_000).after(Nanos(number as u64));
-            ledger.put(now, print, number);
+            map.insert(now, print, number);
             plain.insert(print, number);
-            prop_assert!(ledger.len() <= 100);
-            prop_assert!(ledger.has_gaps(now) || ledger.len() == plain.len());
+            prop_assert!(map.len() <= 100);
+            prop_assert!(map.has_lost_entries(now) || map.len() == plain.len());
         }
     }
 }
