--- a/dispatcher/tests/dispatcher/gone_sockets.rs
+++ b/dispatcher/tests/dispatcher/gone_sockets.rs
@@ -126,3 +126,21 @@
         assert_eq!(sent(&rig), "", "round {round}");
     }
 }
+
+/// Requests lie unread with their aborts between and behind them: of those that were cancelled nothing is sent on.
+#[test]
+fn requests_and_their_aborts_in_one_batch_are_not_sent_on() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    let ask = |tag: u64, id: &str| request(tag, "image", id, UNHURRIED);
+    let cancelled =
+        [ask(1, "9b01"), ask(2, "9b02"), message("ABORT", 1), ask(3, "9b03"), message("ABORT", 3)];
+    let batch = [cancelled.concat(), ask(4, "9b04"), message("ABORT", 2)].concat();
+    rig.signal("STOP");
+    client.write_all(&batch).expect("it is kept for the program");
+    lies_unread(&client, false);
+    rig.signal("CONT");
+    let line = rig.asked().line;
+    assert!(line.starts_with("fetch 9b04"), "{line}");
+    assert_eq!(sent(&rig), "");
+}
