A deadline is waited for while its request is in hand, also for a client that has gone

Where attempts are not cancelled, those of a client that has gone end by the request's deadline since; the one structure of deadlines forgot that one, as no answer was owed. Dispatcher tests: 118 passed, the driver among them, which asserts that a forgotten deadline changes nothing.

--- a/dispatcher/src/reducer/deadlines.rs
+++ b/dispatcher/src/reducer/deadlines.rs
@@ -7,7 +7,8 @@
     /// twice. The decisions' own deadlines are theirs to judge; they are short.
     pub fn waits_for(&self, due: &Due) -> bool {
         match *due {
-            Due::Expiry(dl, serial) => self.desk.is_owed(dl, serial),
+            // Also for a client that has gone: where attempts are not cancelled, they end by this deadline.
+            Due::Expiry(request, serial) => self.desk.serial_of(request) == serial,
             Due::SendBy(pull, serial) => self.desk.is_out(pull, serial),
             Due::Disk(dl, serial) => self.is_reading(dl, serial),
             Due::Module(_)
