--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -10,6 +10,7 @@
 mod largest;
 mod opening;
 mod ordinary;
+mod purges;
 mod repeats;
 mod rules;
 mod sizes;
