Slopes: what one real dispatcher costs, by size, with the law that fits

`copperroute-lab slopes [NAME ...]` starts one real dispatcher beside stand-ins of its own on loopback, at five sizes and three runs each, reads processor time (nanoseconds of schedstat, all threads), memory and descriptors from /proc and bytes from the stand-in, fits flat, linear, n log n and quadratic laws by least squares, and prints Markdown tables with the command and the seed. Bounded in time (--most-s).

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,6 +14,7 @@
 mod results;
 mod scenario;
 mod service;
+mod slopes;
 mod world;
 
 use clap::{Args, Parser, Subcommand};
@@ -123,6 +124,13 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Measures how what one dispatcher costs grows with what it is given: tables with the laws that fit.
+    Slopes {
+        #[command(flatten)]
+        options: slopes::Options,
+        #[command(flatten)]
+        place: Place,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
@@ -231,6 +239,10 @@
             print!("{}", many_rules::table(&dispatchers, &loss, away, seed));
             Ok(())
         }
+        Command::Slopes { options, place } => {
+            let program = place.own_program()?;
+            on_threads(4, slopes::run(&options, program, &place.out, place.net))
+        }
         Command::List { folder } => list(&folder),
         Command::Schema => {
             println!("{:#}", Scenario::schema());
--- /dev/null
+++ b/lab/src/slopes/usage.rs
@@ -0,0 +1,30 @@
+//! What a process has used, as the kernel counts it: in nanoseconds, as control takes less than a tick a second.
+
+use std::time::Duration;
+
+/// What a process has used.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Processor time of all its threads.
+    pub processor: Duration,
+    /// Resident memory in MB (10^6 bytes).
+    pub resident_mb: f64,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
+/// What a process has used; nothing if it has ended.
+pub fn usage(pid: u32) -> Option<Usage> {
+    let mut nanos = 0;
+    for thread in std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten() {
+        // The first word is the time spent on a processor.
+        let schedstat = std::fs::read_to_string(thread.path().join("schedstat")).unwrap_or_default();
+        nanos += schedstat.split(' ').next().and_then(|word| word.parse::<u64>().ok()).unwrap_or_default();
+    }
+    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
+    let pages: f64 = statm.split(' ').nth(1)?.parse().ok()?;
+    // Pages are of 4 KiB.
+    let resident_mb = pages * 4096.0 / 1e6;
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count();
+    Some(Usage { processor: Duration::from_nanos(nanos), resident_mb, descriptors })
+}
