Lab: hollow dispatchers and the capacity command, first whole piece

Control of hundreds of dispatchers could not be seen in one run: the lab's dispatchers are processes each. Hollow ones run the real reducer on real sockets to the change log, many in a process; beside them real ones, observed by clients.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 SCENARIO ?= lab/scenarios/trunk-outage.json
 
-.PHONY: build test lint run check lab cold agree bench
+.PHONY: build test lint run check lab cold agree capacity bench
 
 build:
 	cargo build --release
@@ -37,6 +37,10 @@
 	for file in lab/scenarios/agree-*.json; do case $$file in *agree-half*) continue;; esac; \
 		target/release/copperroute-lab run $$file --out target/lab/$$(basename $$file .json) || exit 1; done
 
+# Plays the ordinary day of the whole fleet, compressed, some three minutes; ends with 1 if a bound is missed.
+capacity: build
+	target/release/copperroute-lab capacity lab/scenarios/capacity-590.json --out target/lab/capacity
+
 # Times the structures of the decisions beside plain ones.
 bench:
 	cargo bench --bench structures
--- a/dispatcher/src/agreed.rs
+++ b/dispatcher/src/agreed.rs
@@ -81,6 +81,11 @@
         self.core.lost(None);
     }
 
+    /// The number of the version in force; 0 is what the platform's settings say.
+    pub fn in_force(&self) -> u64 {
+        self.core.in_force().number
+    }
+
     /// The list service is asked.
     pub fn asked(&mut self, now: Nanos) {
         self.core.asked(now);
--- a/dispatcher/src/reducer/changes.rs
+++ b/dispatcher/src/reducer/changes.rs
@@ -3,6 +3,11 @@
 use super::*;
 
 impl Reducer {
+    /// The number of the version of the rules in force, where there is an agreement on them.
+    pub fn rules_in_force(&self) -> Option<u64> {
+        self.agreed.as_ref().map(Agreed::in_force)
+    }
+
     pub(super) fn apply(&mut self, now: Nanos, change: &Change, lost: bool) {
         let unix_ms = self.epoch.unix_ms(now);
         let takes_list = match &mut self.agreed {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `copperroute-lab`: plays failures and crowds of clients against real dispatchers on loopback.
 
+mod capacity;
 mod clients;
 mod groups;
 mod least;
@@ -123,22 +124,38 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Plays the ordinary day of a whole fleet, compressed; ends with 1 if a bound was missed, each named.
+    Capacity {
+        scenario: PathBuf,
+        #[command(flatten)]
+        place: Place,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
         folder: PathBuf,
     },
     /// Prints the schema of scenarios.
-    Schema,
+    Schema {
+        /// Of those that `capacity` plays.
+        #[arg(long)]
+        capacity: bool,
+    },
     /// Passes bytes on, for `pace`.
     #[command(hide = true)]
     Relay { listen: SocketAddr, to: SocketAddr },
+    /// Hosts hollow dispatchers, for `capacity`.
+    #[command(hide = true)]
+    Hollow { hosted: PathBuf },
 }
 
 /// The command line or a scenario is wrong; a rule was broken or an expectation missed.
 const UNUSABLE: u8 = 2;
 const FAILED: u8 = 1;
 
+/// Scenarios whose names begin so are for `capacity`, all others for `run`.
+const CAPACITY_NAME: &str = "capacity-";
+
 type Ended = Result<(), (u8, String)>;
 
 fn on_threads<T>(threads: usize, work: impl Future<Output = Result<T, String>>) -> Result<T, (u8, String)> {
@@ -196,6 +213,20 @@
     outcomes.iter().try_for_each(verdict)
 }
 
+/// Plays a day of a whole fleet, and names each bound that was missed.
+fn play_capacity(file: &Path, place: &Place) -> Ended {
+    let scenario = capacity::scenario::Scenario::read(file).map_err(|fault| (UNUSABLE, fault))?;
+    let (name, program) = (play::name_of(file), place.own_program()?);
+    let play = capacity::play(&name, &scenario, &program, &place.out, place.net);
+    let (lines, missed) = on_threads(4, play)?;
+    lines.iter().for_each(|line| println!("{line}"));
+    if !missed.is_empty() {
+        return Err((FAILED, format!("{name}: {}", missed.join("; "))));
+    }
+    println!("{name}: all bounds kept");
+    Ok(())
+}
+
 fn list(folder: &Path) -> Ended {
     let said = |fault: std::io::Error| (UNUSABLE, format!("{}: {fault}", folder.display()));
     let files = std::fs::read_dir(folder).map_err(said)?.flatten().map(|entry| entry.path());
@@ -203,8 +234,13 @@
         files.filter(|path| path.extension().is_some_and(|kind| kind == "json")).collect();
     files.sort();
     for file in files {
-        let scenario = Scenario::read(&file).map_err(|fault| (UNUSABLE, fault))?;
-        println!("{} ({:.0} s): {}", play::name_of(&file), scenario.length_s, scenario.about);
+        let name = play::name_of(&file);
+        let told = match name.starts_with(CAPACITY_NAME) {
+            true => capacity::scenario::Scenario::read(&file).map(|of| (of.length_s, of.about)),
+            false => Scenario::read(&file).map(|of| (of.length_s, of.about)),
+        };
+        let (length_s, about) = told.map_err(|fault| (UNUSABLE, fault))?;
+        println!("{name} ({length_s:.0} s): {about}");
     }
     Ok(())
 }
@@ -232,10 +268,14 @@
             Ok(())
         }
         Command::List { folder } => list(&folder),
-        Command::Schema => {
-            println!("{:#}", Scenario::schema());
+        Command::Schema { capacity: of_capacity } => {
+            let schema =
+                if of_capacity { capacity::scenario::Scenario::schema() } else { Scenario::schema() };
+            println!("{schema:#}");
             Ok(())
         }
+        Command::Capacity { scenario, place } => play_capacity(&scenario, &place),
+        Command::Hollow { hosted } => capacity::hollow::host(&hosted).map_err(|fault| (UNUSABLE, fault)),
         Command::Relay { listen, to } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|fault| (UNUSABLE, fault.to_string()))?;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -12,11 +12,12 @@
     [RGBColor(0, 90, 160), RGBColor(200, 80, 0), RGBColor(0, 130, 70), RGBColor(120, 120, 120)];
 const SIZE: (u32, u32) = (900, 280);
 
-type Curve = (String, Vec<f64>);
+/// A curve's name and values.
+pub type Curve = (String, Vec<f64>);
 type Value<'a> = (&'a str, &'a dyn Fn(&Second) -> f64);
 
 /// One chart over the seconds, with the faults shaded; over numbers of dispatchers where these are given.
-fn chart(curves: &[Curve], faults: [f64; 2], sizes: &[usize]) -> Result<String, String> {
+pub fn chart(curves: &[Curve], faults: [f64; 2], sizes: &[usize]) -> Result<String, String> {
     let mut svg = String::new();
     {
         let said = |fault: &dyn std::fmt::Display| fault.to_string();
