--- a/lab/src/capacity/figures.rs
+++ b/lab/src/capacity/figures.rs
@@ -136,6 +136,10 @@
         }
         for over in track.disturbances.iter().filter(|span| span.to_us <= until_us) {
             harms.entry(over.cause).or_default().times += 1;
+            // The run begins once all have started and follow.
+            if over.cause == Cause::Start {
+                continue;
+            }
             let Some(next) = issued.iter().find(|issued| issued.at_us > over.to_us) else { continue };
             let current = currents.entry(over.cause).or_default();
             match track.acted_us(next.seq, next.at_us) {
--- a/lab/src/capacity/outcome.rs
+++ b/lab/src/capacity/outcome.rs
@@ -30,7 +30,7 @@
 }
 
 /// What a run came to.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone, Default, serde::Serialize)]
 pub struct Outcome {
     pub seed: u64,
     pub hollow: usize,
@@ -178,6 +178,7 @@
         within("current_worst_s", expect.current_worst_s, current);
         let Beside { hollow, real, hollow_purge, real_purge, real_purge_earliest } = self.beside;
         within("bytes_per_s", expect.bytes_per_s, hollow.bytes_per_s.max(real.bytes_per_s));
+        within("bytes_most_per_s", expect.bytes_most_per_s, self.bytes_most as f64);
         within("cores", expect.cores, self.hollow_share.cores.max(self.real_idle_share.cores));
         within("memory_mb", expect.memory_mb, self.hollow_share.memory_mb.max(self.real_share.memory_mb));
         within("calls_per_s", expect.calls_per_s, self.calls_most as f64);
@@ -204,3 +205,7 @@
         missed
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/capacity_outcome.rs"]
+mod tests;
--- a/lab/src/capacity/scenario.rs
+++ b/lab/src/capacity/scenario.rs
@@ -165,6 +165,8 @@
     pub current_worst_s: Option<f64>,
     /// Bytes a second from the change log to one dispatcher, in the mean of the run.
     pub bytes_per_s: Option<f64>,
+    /// The same in any second, while it catches up too.
+    pub bytes_most_per_s: Option<f64>,
     /// Cores that one dispatcher's control takes.
     pub cores: Option<f64>,
     /// Resident memory of one dispatcher, in MB.
