--- /dev/null
+++ b/lab/src/fleet_simulation/follower.rs
@@ -0,0 +1,186 @@
+//! One follower of the change log: the program's own cores, `ChangeLog` (with `Calls`) for each stream and `Agreement`
+//! for versions. With two streams the first copy of an event counts; that merge is the simulation's own.
+
+use super::assumptions::*;
+use copperroute::calls::{CallSettings, Calls};
+use copperroute::interface::Nanos;
+use copperroute_agreement::core::Agreement;
+use copperroute_agreement::faults::Faults;
+use copperroute_agreement::issue::{Ground, Issue};
+use copperroute_agreement::rules::RuleSet;
+use copperroute_agreement::terms::Terms;
+use copperroute_dispatcher::changes::{ChangeLog, Told};
+use copperroute_dispatcher::effects::Effect;
+use copperroute_protocol::changes::Change;
+use serde_json::{Map, Value, json};
+use std::net::SocketAddr;
+
+const TERMS: Terms =
+    Terms { lease: Nanos(3_000_000_000), clock_error: Nanos(250_000_000), slack: Nanos(500_000_000) };
+
+/// What a follower took of the bytes that came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// The event with this number, for the first time.
+    Event(u64),
+    /// A second's line; whether all that is known there has been taken here.
+    Line { current: bool },
+}
+
+/// What a version says in the simulation.
+pub fn rules(pulls: u64) -> Map<String, Value> {
+    [("max_pulls".to_string(), json!(pulls))].into_iter().collect()
+}
+
+fn agreement() -> Agreement {
+    let base = RuleSet::of(&crate::many_rules::settings(), &[]);
+    let floor = RuleSet::read(&base, &[], "floor", &rules(2)).unwrap_or_else(|_| base.clone());
+    let ground = Ground { base, types: Vec::new(), terms: TERMS, faults: Faults::default() };
+    Agreement::new(ground, &floor)
+}
+
+/// The address by which the simulation knows a source.
+pub fn address_of(source: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], source as u16))
+}
+
+/// What a follower starts with.
+pub struct Start {
+    /// The source of each stream.
+    pub sources: Vec<usize>,
+    pub calls: CallSettings,
+    pub seed: u64,
+    /// The last event that its configuration knows.
+    pub known: u64,
+    /// Its clock is so many milliseconds off.
+    pub clock_off_ms: i64,
+    /// Whether it acts on versions, as dispatchers do.
+    pub agrees: bool,
+}
+
+pub struct Follower {
+    streams: Vec<ChangeLog>,
+    agreement: Option<Box<Agreement>>,
+    newest: u64,
+    clock_off_ms: i64,
+}
+
+impl Follower {
+    pub fn new(start: &Start) -> Self {
+        let unix_zero = UNIX_MS * 1_000_000;
+        let stream = |(at, source): (usize, &usize)| {
+            let seed = start.seed.wrapping_add(at as u64 * 0x9E37_79B9);
+            ChangeLog::new(address_of(*source), start.known, Calls::new(start.calls, seed, unix_zero))
+        };
+        Follower {
+            streams: start.sources.iter().enumerate().map(stream).collect(),
+            agreement: start.agrees.then(|| Box::new(agreement())),
+            newest: start.known,
+            clock_off_ms: start.clock_off_ms,
+        }
+    }
+
+    /// The last event that was taken.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// The last event that came by this stream.
+    pub fn applied(&self, stream: usize) -> u64 {
+        self.streams[stream].applied()
+    }
+
+    /// The version in force, where it acts on versions.
+    pub fn in_force(&self) -> u64 {
+        self.agreement.as_ref().map_or(0, |agreement| agreement.in_force().number)
+    }
+
+    /// Whether it knows that it is out of touch.
+    pub fn is_out_of_touch(&self) -> bool {
+        self.agreement.as_ref().is_some_and(|agreement| agreement.out_of_touch().is_some())
+    }
+
+    /// It starts; one that has a list `waits` as `Calls` has it, one that has none calls in the next round.
+    pub fn start(&mut self, stream: usize, waits: bool, now: Nanos, effects: &mut Vec<Effect>) {
+        self.streams[stream].start(waits, now, effects);
+    }
+
+    pub fn due(&mut self, stream: usize, now: Nanos, effects: &mut Vec<Effect>) {
+        self.streams[stream].connect(now, effects);
+    }
+
+    pub fn connected(&mut self, stream: usize, connection: u32, now: Nanos, effects: &mut Vec<Effect>) {
+        // With another stream up, the lease goes on by that one's lines.
+        if self.streams.len() == 1 {
+            self.agreement.iter_mut().for_each(|agreement| agreement.asked(now));
+        }
+        self.streams[stream].connected(connection, effects);
+    }
+
+    pub fn closed(&mut self, stream: usize, connection: u32, now: Nanos, effects: &mut Vec<Effect>) {
+        self.streams[stream].closed(connection, now, effects);
+    }
+
+    /// The next call of this stream goes to another source.
+    pub fn turn_to(&mut self, stream: usize, source: usize, now: Nanos, effects: &mut Vec<Effect>) {
+        self.streams[stream].move_to(address_of(source), now, effects);
+    }
+
+    /// Gives a silent stream up.
+    pub fn watch(&mut self, stream: usize, now: Nanos, effects: &mut Vec<Effect>) {
+        self.streams[stream].watch(now, effects);
+    }
+
+    /// Brings what is agreed up to this time.
+    pub fn look(&mut self, now: Nanos) {
+        let unix_ms = self.unix_ms(now);
+        if let Some(agreement) = &mut self.agreement {
+            agreement.look(now, unix_ms);
+        }
+    }
+
+    /// Bytes have come on a stream.
+    pub fn received(
+        &mut self,
+        stream: usize,
+        connection: u32,
+        bytes: &[u8],
+        now: Nanos,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<News> {
+        let mut news = Vec::new();
+        self.streams[stream].received(connection, bytes);
+        while let Some(told) = self.streams[stream].next_told(now, effects) {
+            match told {
+                Told::Change { change, .. } if change.seq > self.newest => {
+                    self.newest = change.seq;
+                    self.take(now, &change);
+                    news.push(News::Event(change.seq));
+                }
+                Told::Change { .. } => {}
+                Told::Line { caught_up } => {
+                    let current = caught_up && self.applied(stream) == self.newest;
+                    self.agreement.iter_mut().for_each(|agreement| agreement.line(now, current));
+                    news.push(News::Line { current });
+                }
+            }
+        }
+        self.look(now);
+        news
+    }
+
+    fn unix_ms(&self, now: Nanos) -> u64 {
+        (UNIX_MS + now.0 / 1_000_000).saturating_add_signed(self.clock_off_ms)
+    }
+
+    fn take(&mut self, now: Nanos, change: &Change) {
+        let unix_ms = self.unix_ms(now);
+        let Some(agreement) = &mut self.agreement else { return };
+        if let Some(issue) = change.rules.as_ref().and_then(|told| Issue::read(told).ok()) {
+            let _ = agreement.heard(now, unix_ms, &issue);
+        }
+        if let Some(purge) = &change.invalidate {
+            agreement.told_at(now, unix_ms, purge.time);
+        }
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `copperroute-lab`: plays failures and crowds of clients against real dispatchers on loopback.
 
 mod clients;
+mod fleet_simulation;
 mod groups;
 mod least;
 mod links;
@@ -123,6 +124,24 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Simulates faults of the fleet, and for how long they break which bounds: tables.
+    Faults {
+        /// How many dispatchers.
+        #[arg(long, value_delimiter = ',', default_value = "590,1180,5900")]
+        dispatchers: Vec<u32>,
+        /// Each fault is played with so many seeds, from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// The ways of changes to compare, by letter: a, b, b', c, d; all if absent.
+        #[arg(long, default_value = "")]
+        ways: String,
+        /// Only the sums of an ordinary month.
+        #[arg(long)]
+        month: bool,
+        /// For how many seconds regions are cut; an hour at most.
+        #[arg(long, default_value_t = 3600.0)]
+        cut: f64,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
@@ -231,6 +250,12 @@
             print!("{}", many_rules::table(&dispatchers, &loss, away, seed));
             Ok(())
         }
+        Command::Faults { dispatchers, seeds, ways, month, cut } => {
+            let options =
+                fleet_simulation::Options { dispatchers, seeds: seeds.max(1), ways, month, cut_s: cut };
+            print!("{}", fleet_simulation::table(&options));
+            Ok(())
+        }
         Command::List { folder } => list(&folder),
         Command::Schema => {
             println!("{:#}", Scenario::schema());
--- a/lab/src/many_rules.rs
+++ b/lab/src/many_rules.rs
@@ -62,7 +62,8 @@
     heard: usize,
 }
 
-fn settings() -> Settings {
+/// Settings under which versions are agreed on.
+pub fn settings() -> Settings {
     let cold = ColdStart { share: 0.3, warm_after: Nanos(12_000_000_000), fall_multiple: 1.5 };
     Settings {
         seed: 1,
