--- a/lab/src/capacity/hollow/dispatcher.rs
+++ b/lab/src/capacity/hollow/dispatcher.rs
@@ -12,6 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -108,8 +109,9 @@
         self.reduce(Event::Started);
         let mut put_off = 0;
         while !self.exited {
-            let next = self.timers.next().unwrap_or_else(|| self.clock.now());
-            let next = tokio::time::Instant::from_std(self.clock.instant(next));
+            let now = self.clock.now();
+            let wait = Duration::from_nanos(self.timers.next().unwrap_or(now).since(now).0);
+            let next = tokio::time::Instant::now() + wait;
             // What has come is read before time is called on it.
             let first = put_off < TURNS_FIRST;
             tokio::select! {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod clients;
+mod fleet_simulation;
 mod groups;
 mod least;
 mod links;
@@ -138,6 +139,27 @@
         #[command(flatten)]
         place: Place,
     },
+    /// Simulates faults of the fleet, and for how long they break which bounds: tables.
+    Faults {
+        /// How many dispatchers.
+        #[arg(long, value_delimiter = ',', default_value = "590,1180,5900")]
+        dispatchers: Vec<u32>,
+        /// Each fault is played with so many seeds, from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Faults that last an hour are played with so many; as many as the others if absent.
+        #[arg(long)]
+        long_seeds: Option<u64>,
+        /// The ways of changes to compare, by letter: a, b, b', c, d; all if absent.
+        #[arg(long, default_value = "")]
+        ways: String,
+        /// Only the sums of an ordinary month.
+        #[arg(long)]
+        month: bool,
+        /// For how many seconds regions are cut; an hour at most.
+        #[arg(long, default_value_t = 3600.0)]
+        cut: f64,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
@@ -279,6 +301,13 @@
             let program = place.own_program()?;
             on_threads(4, slopes::run(&options, program, &place.out, place.net))
         }
+        Command::Faults { dispatchers, seeds, long_seeds, ways, month, cut } => {
+            let (seeds, long_seeds) = (seeds.max(1), long_seeds.unwrap_or(seeds).max(1));
+            let options =
+                fleet_simulation::Options { dispatchers, seeds, long_seeds, ways, month, cut_s: cut };
+            print!("{}", fleet_simulation::table(&options));
+            Ok(())
+        }
         Command::List { folder } => list(&folder),
         Command::Schema { capacity: of_capacity } => {
             let schema =
