Fleet decisions, pinned rules and retry safety by the field's names (not run as it stands)

storm, gate, cold, spare, link, opening and conduct are overload_control, admission_control, slow_start, origin_limiter, bandwidth_share, connection_back_off and duplicate_filter in src/fleet/; under and repeat are pinned_rules and retry_safety. Admission::reservation() is a plain accessor that saves the policy a line.

--- a/dispatcher/src/nodes/mod.rs
+++ b/dispatcher/src/nodes/mod.rs
@@ -3,8 +3,8 @@
 pub use crate::attempt::PullRef;
 use crate::effects::{Due, Effect, Peer};
 use crate::logs::Sparse;
+use copperroute::fleet::connection_back_off::{ConnectionBackOff, NodeBackOff};
 use copperroute::interface::{Nanos, NodeId, Outcome, Readiness};
-use copperroute::opening::{Opening, Openings};
 use copperroute::state::Slots;
 use copperroute::structures::ids::Ids;
 use copperroute_protocol::hex::Hex;
@@ -49,7 +49,7 @@
     /// When it was last listed; once it has gone, since when.
     pub listed: Nanos,
     /// Whether it takes connections.
-    pub opening: Opening,
+    pub opening: NodeBackOff,
 }
 
 /// The nodes listed, those that left not long ago, and the connections to them.
@@ -67,7 +67,7 @@
     /// Connections that rested are not to be trusted until then.
     doubt: Nanos,
     complaints: Sparse,
-    openings: Openings,
+    openings: ConnectionBackOff,
     /// Nodes that turned connections away, and until when none is opened there; not handed on yet.
     full: Vec<(NodeId, Nanos)>,
 }
@@ -85,7 +85,7 @@
             held_back: false,
             doubt: Nanos::ZERO,
             complaints: Sparse::default(),
-            openings: Openings::new(seed),
+            openings: ConnectionBackOff::new(seed),
             full: Vec::new(),
         }
     }
--- a/dispatcher/src/reducer/changes.rs
+++ b/dispatcher/src/reducer/changes.rs
@@ -85,7 +85,7 @@
             readiness,
             connections: Vec::new(),
             listed: self.desk.now,
-            opening: Opening::default(),
+            opening: NodeBackOff::default(),
         };
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
--- a/dispatcher/src/reducer/mod.rs
+++ b/dispatcher/src/reducer/mod.rs
@@ -15,12 +15,12 @@
 use crate::nodes::Pool;
 use crate::phases::{Life, Phase};
 use copperroute::calls::Calls;
-use copperroute::conduct::{Conduct, MOST_IDS, Verdict};
+use copperroute::fleet::connection_back_off::NodeBackOff;
+use copperroute::fleet::duplicate_filter::{DuplicateFilter, MOST_IDS, Verdict};
 use copperroute::interface::{
     DlId, Download, Nanos, NodeEntry, NodeId, Outbox as _, Readiness, Repeat, Settings, TypeId, UNTOLD,
     ZoneId, mix, stable_hash,
 };
-use copperroute::opening::Opening;
 use copperroute::policy::Dispatcher;
 use copperroute_agreement::rules::RuleSet;
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
@@ -89,7 +89,7 @@
     /// Lines that clients cause.
     complaints: Sparse,
     /// What clients have shown of themselves.
-    conduct: Conduct,
+    conduct: DuplicateFilter,
     /// What the program was started with, and what has been taken of it since.
     config: Config,
 }
@@ -127,7 +127,7 @@
             drained: false,
             shut: false,
             complaints: Sparse::default(),
-            conduct: Conduct::new(longest_expiry(&config), MOST_IDS),
+            conduct: DuplicateFilter::new(longest_expiry(&config), MOST_IDS),
             config,
         }
     }
--- a/src/gate.rs
+++ b/src/fleet/admission_control.rs
@@ -1,68 +1,69 @@
-//! The gate of a storm: how much is let in a second, who goes first, and when the others may come back.
+//! Admission control under overload: how much work is admitted a second, in which order, and the slots in which rejected
+//! requests may retry.
 
 use crate::interface::Nanos;
 use crate::structures::ring_buffer::RingBuffer;
 use crate::structures::timer_wheel::TimerWheel;
 
-/// Levels of benefit for the work, doubling from one to the next; the last is for those who come at their time.
+/// Priority levels by value per work, doubling from one to the next; the last is for retries that come in their slot.
 pub const LEVELS: usize = 16;
-/// The level at which a second of work earns a benefit of one.
+/// The level at which a second of work is worth one.
 const ONE: f64 = 5.0;
-/// What was asked for is summed over this.
+/// Demand is summed over this window.
 const ASKED_OVER: Nanos = Nanos(1_000_000_000);
 const BUCKETS: usize = 8;
-/// Ends of those let in are judged over this.
+/// Outcomes of admitted requests are judged over this window, if there are enough.
 const JUDGED_OVER: Nanos = Nanos(1_000_000_000);
 const ENOUGH: f64 = 4.0;
-/// The pace is raised while more than the one part is served in time, and lowered under the other.
+/// The rate is raised while more than the first share is served in time, and lowered below the second.
 const WELL: f64 = 0.85;
 const ILL: f64 = 0.6;
 const RAISE: f64 = 1.08;
 const LOWER: f64 = 0.9;
-/// Bounds of the pace, in parts of what should be borne.
+/// Bounds of the rate, as multiples of the expected capacity.
 const LEAST: f64 = 0.1;
 const MOST: f64 = 1.25;
-/// A supply that has grown by so much is another one.
+/// A capacity that has grown by this factor counts as a new one.
 const ANEW: f64 = 1.2;
-/// A second's work that is tried whatever should be borne: it shows when things work again.
+/// Work a second that is always admitted: it shows when things work again.
 const TRICKLE: f64 = 0.1;
-/// The part of the pace that every content type may use, however little it earns.
+/// The share of the rate that every content type may use, whatever its value.
 const FLOOR: f64 = 0.05;
 
-/// One way in.
+/// Admission to one backend: a token bucket with priorities, and reserved slots for retries.
 #[derive(Debug)]
-pub struct Gate {
+pub struct AdmissionControl {
     looked: Nanos,
-    /// Work a second that should be borne: now, and when the longest advice is over.
+    /// Expected capacity in work a second: now, and after the longest retry-after.
     supply: [f64; 2],
     longest: Nanos,
-    /// It is that of the ways past those that should bear it.
+    /// It is the capacity of the ways that bypass the backend.
     past: bool,
-    /// The part of it that has been shown to be.
+    /// The share of it that outcomes have confirmed.
     borne: f64,
-    /// Work that may still be let in.
+    /// Tokens: work that may still be admitted.
     tokens: f64,
-    /// The same for each content type alone.
+    /// Tokens of each content type's own share.
     floors: Vec<f64>,
-    /// Work asked for by level.
+    /// Demanded work by level.
     asked: RingBuffer<LEVELS>,
-    /// Levels over this one are let in, and this part of it.
+    /// Levels above this one are admitted, and this share of it.
     cut: (u8, f64),
     ended: RingBuffer<2>,
     wheel: TimerWheel,
-    /// What was not used of the pace is kept for so long: as long as what bears it is judged over, in seconds.
+    /// Unused tokens are kept for so many seconds: the window that the backend is judged over.
     saved: f64,
-    /// The part of the pace that is not given away beforehand.
+    /// The share of the rate that is not reserved for retries.
     newcomers: f64,
 }
 
-impl Gate {
-    /// The level of those who come at their time.
+impl AdmissionControl {
+    /// The level of retries that come in their slot.
     pub const RESERVED: u8 = LEVELS as u8 - 1;
 
-    /// A gate for so many content types.
+    /// For so many content types.
     pub fn new(types: usize, longest: Nanos, saved: Nanos, slots: usize, newcomers: f64) -> Self {
-        Gate {
+        AdmissionControl {
             looked: Nanos::ZERO,
             supply: [0.0; 2],
             longest,
@@ -79,26 +80,26 @@
         }
     }
 
-    /// The level of a benefit for so much work.
+    /// The level of a value for so much work.
     pub fn level(benefit: f64, work_s: f64) -> u8 {
         let level = (benefit.max(1e-6) / work_s.max(1e-4)).log2() + ONE;
         level.clamp(0.0, f64::from(Self::RESERVED - 1)) as u8
     }
 
-    /// Work a second that is let in.
+    /// The admitted rate, in work a second.
     pub fn pace(&self) -> f64 {
         (self.borne * self.supply[0]).max(TRICKLE)
     }
 
-    /// Sets the pace by what should be borne and by how those let in have fared, and draws the line.
+    /// Sets the rate from the expected capacity and the outcomes of admitted requests, and the level that is cut off.
     pub fn look(&mut self, now: Nanos, [soon, later]: [f64; 2], past: bool) {
         let passed = now.since(self.looked).secs().min(1.0);
-        // What has just come has all of its window before it.
+        // Capacity that is new has its whole window ahead of it.
         let before = if past == self.past { self.supply[0] } else { 0.0 };
         let fresh = (soon - before).max(0.0) * self.saved;
         self.past = past;
         if soon > ANEW * before {
-            // How those before it fared says nothing of it.
+            // Outcomes under the old capacity say nothing of the new one.
             self.borne = self.borne.max(1.0);
             self.ended.clear();
         }
@@ -106,7 +107,7 @@
         let [well, ill] = self.ended.sums(now);
         if well + ill >= ENOUGH {
             let share = well / (well + ill);
-            // Raised and lowered by the time that has passed, in tenths of a second.
+            // Raised and lowered per tenth of a second that has passed.
             let steps = passed * 10.0;
             if share > WELL {
                 self.borne = (self.borne * RAISE.powf(steps)).min(MOST);
@@ -132,12 +133,12 @@
         }
     }
 
-    /// Somebody asks for so much work.
+    /// Counts demand for so much work.
     pub fn asked(&mut self, now: Nanos, level: u8, work_s: f64) {
         self.asked.add(now, usize::from(level).min(LEVELS - 1), work_s);
     }
 
-    /// Whether this one is let in; `draw` in [0, 1) decides on the line.
+    /// Whether a request is admitted; `draw` in [0, 1) decides at the level that is cut off.
     pub fn lets_in(&mut self, content_type: usize, level: u8, work_s: f64, draw: f64) -> bool {
         let (cut, part) = self.cut;
         let above = level > cut || (level == cut && draw < part);
@@ -154,19 +155,18 @@
         false
     }
 
-    /// One that was let in has ended.
+    /// An admitted request has ended.
     pub fn ended(&mut self, now: Nanos, in_time: bool) {
         self.ended.add(now, usize::from(!in_time), 1.0);
     }
 
-    /// One that was let in found nothing held and nobody to fill it: its work was not done, and that says
-    /// nothing of the pace.
+    /// An admitted request found no copy and no source: its tokens are returned, and it says nothing of the rate.
     pub fn came_to_nothing(&mut self, work_s: f64) {
         self.tokens += work_s;
     }
 
-    /// A time to come back at, with the pace kept for it; nothing where all slots are taken. Those under the
-    /// line get half of the room, so that they can't take it from those who earn more.
+    /// Reserves a slot and returns a time in it; `None` if all slots are full. Levels below the cut may use half of a slot, so
+    /// that they don't take it from more valuable ones.
     pub fn reserve(&mut self, now: Nanos, level: u8, work_s: f64, draw: f64) -> Option<Nanos> {
         let part = (1.0 - self.newcomers) * if level >= self.cut.0 { 1.0 } else { 0.5 };
         let (borne, [soon, later], longest) = (self.borne, self.supply, self.longest);
--- a/src/link.rs
+++ b/src/fleet/bandwidth_share.rs
@@ -1,5 +1,5 @@
-//! Decisions on the location's link for fills, as one dispatcher sees it: how many fills of its own may be out. No input
-//! or output; time comes with each call, chance as a draw of the caller's.
+//! Bandwidth share: how many of its own fills one dispatcher may have in flight on the zone's link for fills. No I/O; time comes
+//! with each call, random draws from the caller.
 //!
 //! The link divides itself among all fills, so one too many makes all of them late. Each dispatcher keeps its own fills
 //! under a limit that follows how slow they run; what is large for its type is let go first. Guards against scans, cold
@@ -23,9 +23,9 @@
 /// A fill counts as no larger than so many usual ones.
 const LARGEST: f64 = 4.0;
 
-/// The location's link for fills, as one dispatcher sees it.
+/// One dispatcher's share of the zone's link for fills.
 #[derive(Debug)]
-pub struct Link {
+pub struct BandwidthShare {
     /// Time own fills took to send, what is fair for that, and how long they waited first.
     pace: RingBuffer<3>,
     /// Own fills out.
@@ -41,13 +41,19 @@
 /// Of the caches' links, where the location's own is not told.
 const JUDGED_PART: f64 = 0.5;
 
-impl Default for Link {
+impl Default for BandwidthShare {
     fn default() -> Self {
-        Link { pace: RingBuffer::new(JUDGED_OVER, BUCKETS), out: 0.0, limit: 0.0, part: 0.0, most: 0.0 }
+        BandwidthShare {
+            pace: RingBuffer::new(JUDGED_OVER, BUCKETS),
+            out: 0.0,
+            limit: 0.0,
+            part: 0.0,
+            most: 0.0,
+        }
     }
 }
 
-impl Link {
+impl BandwidthShare {
     /// The caches of the location have these links together: this dispatcher's part of the location's, in transfers, is
     /// told, or else judged from theirs. The most that were listed count, at what those here have shown they can do.
     pub fn listed(&mut self, s: &Settings, [listed, can]: [f64; 2]) {
@@ -91,7 +97,7 @@
         // What waits for its first byte is not on the link.
         let [took, _, waited] = self.pace.sums(now);
         let on_link = if took > 0.0 { took / (took + waited) } else { 1.0 };
-        // Chance stands for the part of a download that the limit has room for: it may be under one.
+        // The draw stands for the part of a request that the limit has room for: it may be under one.
         (self.out * on_link + draw) * size.clamp(1.0, LARGEST).sqrt() < self.limit
     }
 
--- a/src/opening.rs
+++ b/src/fleet/connection_back_off.rs
@@ -1,5 +1,5 @@
-//! Decisions on connections to nodes: whether one more may be opened, and how long none is after a node has turned
-//! some away. No input or output; time comes with each call, chance from a seed. See docs/cold-start.md.
+//! Connection back-off: whether one more connection to a node may be opened, and for how long none is after the node has
+//! refused some. No I/O; time comes with each call, random numbers from a seed. See docs/cold-start.md.
 //!
 //! A host bears so many connections held and so many new ones a second, and tells nobody how many. Of hundreds of
 //! dispatchers each sees only whether its own are taken: what is turned away counts for the host like what it takes, so
@@ -20,33 +20,33 @@
 /// After one was turned away connections are spared for so long.
 const SPARED: Nanos = Nanos(60_000_000_000);
 
-/// What was seen of one node's connections.
+/// The back-off state of one node.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Opening {
-    /// Turned away since one was taken.
-    in_row: u32,
-    /// None is opened before.
+pub struct NodeBackOff {
+    /// Consecutive refusals.
+    refusals: u32,
+    /// No connection is opened before this time.
     until: Nanos,
 }
 
-impl Opening {
-    /// The node has answered on one: it was taken.
+impl NodeBackOff {
+    /// The node has answered on a connection: it was accepted.
     pub fn taken(&mut self) {
-        *self = Opening::default();
+        *self = NodeBackOff::default();
     }
 }
 
-/// One dispatcher's connections to all nodes.
+/// The connection limits of one dispatcher over all nodes.
 #[derive(Debug)]
-pub struct Openings {
+pub struct ConnectionBackOff {
     random: Random,
     spared_until: Nanos,
 }
 
-impl Openings {
-    /// Nothing was turned away yet.
+impl ConnectionBackOff {
+    /// No refusals yet.
     pub fn new(seed: u64) -> Self {
-        Openings { random: Random::new(mix(seed)), spared_until: Nanos::ZERO }
+        ConnectionBackOff { random: Random::new(mix(seed)), spared_until: Nanos::ZERO }
     }
 
     /// Whether connections are spared: one for each node, for as long as it will do.
@@ -55,15 +55,15 @@
     }
 
     /// Whether one more may be opened to a node to which so many are held.
-    pub fn may_open(&self, now: Nanos, of: &Opening, held: usize) -> bool {
+    pub fn may_open(&self, now: Nanos, of: &NodeBackOff, held: usize) -> bool {
         let most = if self.are_spared(now) { 1 } else { HELD };
-        held < most && of.until <= now && (held == 0 || of.in_row == 0)
+        held < most && of.until <= now && (held == 0 || of.refusals == 0)
     }
 
     /// One has come up and ended with nothing heard. Returns until when none is opened, if the node turns away.
-    pub fn turned_away(&mut self, now: Nanos, of: &mut Opening) -> Option<Nanos> {
-        of.in_row = of.in_row.saturating_add(1);
-        let doubled = of.in_row.checked_sub(ROW)?;
+    pub fn turned_away(&mut self, now: Nanos, of: &mut NodeBackOff) -> Option<Nanos> {
+        of.refusals = of.refusals.saturating_add(1);
+        let doubled = of.refusals.checked_sub(ROW)?;
         let longest = LONGEST.0.min(WAIT.0 << doubled.min(16));
         of.until = now.after(Nanos((longest as f64 * (0.5 + 0.5 * self.random.share())) as u64));
         self.spared_until = now.after(SPARED);
--- a/src/conduct.rs
+++ b/src/fleet/duplicate_filter.rs
@@ -1,11 +1,11 @@
-//! Clients' conduct: what is refused before the policy hears of it, for what its client has shown of itself.
+//! Duplicate filter: rejects requests under an id that was seen before, ahead of the policy.
 //!
-//! By the protocol a client's id of a download is new with every download, its retries too, and no id comes
-//! again. One that does is no download of a usual client: sent on, its answer could be taken for that of the
-//! first, and a flood of the same id would fill every connection to a node. It is answered at once, as failed.
+//! By the protocol every request, retries included, has a new id, and no id is used twice. A duplicate does not come from a
+//! usual client: passed on, its answer could be taken for that of the first, and a flood of the same id would fill every
+//! connection to a node. It is answered at once, as failed.
 //!
-//! Each id is kept for as long as a download under it could still be open somewhere, and at most so many: the
-//! oldest are forgotten first.
+//! Each id is kept for as long as a request under it could still be open somewhere, and at most `most` of them: the oldest are
+//! dropped first.
 //!
 //! Refusing all else that a connection sends once it has sent something unusable was measured and not kept: on
 //! the days of rude clients their later downloads are worth serving (`docs/fleet.md`).
@@ -19,15 +19,15 @@
 /// What becomes of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// It is a download.
+    /// It is new.
     Take,
-    /// Its id came before.
+    /// Its id was seen before.
     Again,
 }
 
 /// The ids seen lately.
 #[derive(Debug)]
-pub struct Conduct {
+pub struct DuplicateFilter {
     /// When each id was seen.
     seen: HashMap<u64, Nanos>,
     /// The same, oldest first.
@@ -37,10 +37,10 @@
     most: usize,
 }
 
-impl Conduct {
+impl DuplicateFilter {
     /// Keeps each id for `kept_for`, the longest that a download may be open, and at most `most` of them.
     pub fn new(kept_for: Nanos, most: usize) -> Self {
-        Conduct { seen: HashMap::new(), order: VecDeque::new(), kept_for, most: most.max(1) }
+        DuplicateFilter { seen: HashMap::new(), order: VecDeque::new(), kept_for, most: most.max(1) }
     }
 
     /// A whole request has come, under the client's id (as a hash).
--- a/src/spare.rs
+++ b/src/fleet/origin_limiter.rs
@@ -1,5 +1,5 @@
-//! Decisions on how far the origin is spared: the part of fills that may go by way of it, judged by how fetches fared
-//! lately. No input or output; time comes with each call. See docs/cold-start.md.
+//! Origin limiter: the share of fills that may go through the origin, judged by the outcomes of recent fetches. No I/O; time
+//! comes with each call. See docs/cold-start.md.
 //!
 //! Of hundreds of dispatchers one sees a fetch a second, and an origin that is overrun answers late: who waits for the
 //! answers learns when it is too late for all, and of answers that never come it learns nothing. So a fill that is
@@ -21,24 +21,24 @@
 /// However late all are, this part is asked for, which shows when things are well again.
 const FLOOR: f64 = 0.1;
 
-/// The origin, as fetches by way of it show it.
+/// The state of the origin as recent fetches show it.
 #[derive(Debug)]
-pub struct Origin {
+pub struct OriginLimiter {
     /// Fetches that came in time, and that were late, refused or overdue.
     fetches: RingBuffer<2>,
     usual_s: f64,
 }
 
-impl Default for Origin {
+impl Default for OriginLimiter {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl Origin {
-    /// One of which nothing was seen.
+impl OriginLimiter {
+    /// An origin of which nothing was seen yet.
     pub fn new() -> Self {
-        Origin { fetches: RingBuffer::new(JUDGED_OVER, BUCKETS), usual_s: USUAL_S }
+        OriginLimiter { fetches: RingBuffer::new(JUDGED_OVER, BUCKETS), usual_s: USUAL_S }
     }
 
     /// What a fetch usually takes to begin, in seconds.
--- a/src/storm/tries.rs
+++ b/src/fleet/overload_control/tries.rs
@@ -1,60 +1,60 @@
-//! What is remembered of tries that failed and may come again.
+//! The memory of failed tries that clients may retry.
 
 use crate::interface::Nanos;
 
-/// Tries that may wait under one fingerprint: clients behind one address that ask for the same.
+/// Tries kept under one fingerprint: clients behind one address that ask for the same object.
 const ALIKE: usize = 4;
 
-/// A try that failed and may come again.
+/// A failed try that may be retried.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Tried {
-    /// Pulls that it and those before it took.
+    /// Attempts that it and the tries before it used.
     pub(super) pulls: u8,
-    /// When it was told to come back; zero for no word.
+    /// When its retry-after ends; zero if none was given.
     pub(super) back: Nanos,
-    /// A slot is kept for it then.
+    /// A slot is reserved for it then.
     pub(super) reserved: bool,
 }
 
-/// What is remembered of tries under one fingerprint.
+/// The tries under one fingerprint.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Page {
     pub(super) tried: [Option<Tried>; ALIKE],
-    /// When a repeat was last counted: who hammers counts once.
+    /// When a retry was last counted: a client that hammers counts once.
     pub(super) counted: Nanos,
 }
 
-/// What is remembered of a download that must not run twice.
+/// Whether a non-idempotent request has run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum Ran {
-    /// It is in hand.
+    /// In flight.
     InHand,
-    /// It may have run, or has.
+    /// It may have run.
     Maybe,
-    /// It never did: it may come again.
+    /// It did not run: it may be retried.
     Never,
 }
 
 impl Page {
-    /// Whether a try is awaited.
+    /// Whether a retry is expected.
     pub(super) fn waits(&self) -> bool {
         self.tried.iter().any(Option::is_some)
     }
 
-    /// One of those alike has come back: the one whose time is nearest.
+    /// Takes the try that a retry belongs to: the one whose retry-after ends nearest to `now`.
     pub(super) fn returns(&mut self, now: Nanos) -> Option<Tried> {
         let away = |tried: &Tried| tried.back.since(now).max(now.since(tried.back));
         let waits = self.tried.iter_mut().filter(|tried| tried.is_some());
         waits.min_by_key(|tried| tried.as_ref().map(away)).and_then(Option::take)
     }
 
-    /// A try waits; where too many do, it stands for one that had as many pulls or fewer.
+    /// Remembers a try; if there is no room it replaces the one with the fewest attempts.
     pub(super) fn put(&mut self, tried: Tried) {
         let place = self.tried.iter_mut().min_by_key(|place| place.map_or(0, |held| 1 + held.pulls));
         place.into_iter().for_each(|place| *place = Some(tried));
     }
 
-    /// When the next of those who wait is to come.
+    /// When the last retry-after ends.
     pub(super) fn next_back(&self) -> Option<Nanos> {
         self.tried.iter().flatten().map(|tried| tried.back).max()
     }
--- a/src/cold.rs
+++ b/src/fleet/slow_start.rs
@@ -1,5 +1,5 @@
-//! Decisions on what a cold node is sent: each dispatcher's part of what the node can do, so that all together keep to
-//! rule 4 with no agreement. No input or output; time comes with each call, chance as a draw of the caller's.
+//! Slow start of cold nodes: each dispatcher limits what it sends a cold node to its share of the warm-up ramp, so that the
+//! fleet keeps to rule 4 without coordination. No I/O; time comes with each call, random draws from the caller.
 //! See docs/cold-start.md.
 //!
 //! Each dispatcher has a token bucket for each cold node: seconds of sending grow in it and are spent by pulls. Of hundreds
@@ -14,14 +14,14 @@
 
 use crate::interface::Nanos;
 
-/// One pull that is more than this part of what the node can do in the rule's time is not for a cold node.
+/// An attempt that takes more than this share of the node's capacity over the rule's window is not sent to a cold node.
 const MOST: f64 = 0.25;
-/// A node that has just started has so many seconds' growth saved, if so much may be.
+/// The bucket of a node that has just started holds this many seconds' growth, if it may hold as much.
 const INITIAL_S: f64 = 1.0;
-/// What all together send in the rule's time at the worst, as a part of what the rule bears.
+/// The worst-case sum of all dispatchers over the rule's window, as a share of what the rule allows.
 const WORST: f64 = 0.75;
 
-/// No wait is told that is longer.
+/// The longest wait that is reported.
 const LONGEST_S: f64 = 60.0;
 
 /// One dispatcher's token bucket for one cold node.
@@ -42,7 +42,7 @@
     rule: f64,
     /// The rule sums over this.
     window: Nanos,
-    /// How many dispatchers share it.
+    /// The number of dispatchers that share it.
     sharers: u32,
 }
 
@@ -92,9 +92,9 @@
     }
 }
 
-/// Of caches in a copy's order only the first cold one stays. Were each cold one asked in turn, who is let in would be
-/// sent to any of them: a copy would be looked for where it is not, and filled where nobody else looks.
-pub fn one_place<T>(caches: &mut Vec<T>, is_cold: impl Fn(&T) -> bool) {
+/// Keeps only the first cold cache in a copy's order. If each cold one were asked in turn, admitted requests would go to any of
+/// them: a copy would be looked up where it is not, and filled where no other dispatcher looks.
+pub fn keep_one_cold<T>(caches: &mut Vec<T>, is_cold: impl Fn(&T) -> bool) {
     let mut one = false;
     caches.retain(|cache| !is_cold(cache) || !std::mem::replace(&mut one, true));
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,7 +4,7 @@
 //! [`crate::policy::Dispatcher`] as things happen, and implements [`Outbox`], through which the
 //! module sends. Nothing here decides anything.
 
-pub use crate::repeat::{DedupScope, Repeat, UNTOLD};
+pub use crate::retry_safety::{DedupScope, Repeat, UNTOLD};
 
 /// A time of the adapter's clock, or a span, in whole nanoseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,22 +3,16 @@
 //! adapter calls [`policy::Dispatcher`] and hands it an [`interface::Outbox`] to answer through.
 
 pub mod calls;
-pub mod cold;
-pub mod conduct;
-pub mod gate;
+pub mod fleet;
 pub mod interface;
-pub mod link;
 pub mod nodes;
-pub mod opening;
+pub mod pinned_rules;
 pub mod policy;
 pub mod purges;
-pub mod repeat;
+pub mod retry_safety;
 pub mod size;
-pub mod spare;
 pub mod state;
-pub mod storm;
 pub mod structures;
-pub mod under;
 
 /// The older path of the random numbers; new code names [`structures::random`].
 pub mod chance {
--- a/src/nodes.rs
+++ b/src/nodes.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher keeps of its nodes. State only: nothing here decides.
 
-use crate::cold::TokenBucket;
+use crate::fleet::slow_start::TokenBucket;
 use crate::interface::{Nanos, NodeEntry, NodeId, Readiness, Report, ZoneId, mix};
 use crate::size::{PROBE_PARENTS, Size, Sizes};
 use crate::state::{Sent, Slots};
--- /dev/null
+++ b/src/pinned_rules.rs
@@ -0,0 +1,49 @@
+//! Pinned rules: the rules in force when a request was accepted. Each further attempt obeys them as well as those in force now,
+//! so that nothing runs twice because a rule changed while an attempt was in flight.
+
+use crate::interface::{Nanos, Repeat, Settings, TypeId};
+
+/// The stricter of two rules on retries.
+pub fn stricter(a: Repeat, b: Repeat) -> Repeat {
+    use Repeat::*;
+    match (a, b) {
+        (NonRetriable, _) | (_, NonRetriable) => NonRetriable,
+        (Retriable, other) | (other, Retriable) => other,
+        (Deduped { scope, window: a }, Deduped { window: b, .. }) => {
+            Deduped { scope, window: Nanos(a.0.min(b.0)) }
+        }
+    }
+}
+
+/// The rules that a request is pinned to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PinnedRules {
+    repeat: Repeat,
+    max_pulls: u32,
+}
+
+impl PinnedRules {
+    /// The rules of a content type in these settings.
+    pub fn new(s: &Settings, content_type: TypeId) -> PinnedRules {
+        PinnedRules { repeat: s.content_types[content_type.0 as usize].repeat, max_pulls: s.max_pulls }
+    }
+
+    /// The stricter of these and of those in force.
+    pub fn and(self, s: &Settings, content_type: TypeId) -> PinnedRules {
+        let other = PinnedRules::new(s, content_type);
+        PinnedRules {
+            repeat: stricter(self.repeat, other.repeat),
+            max_pulls: self.max_pulls.min(other.max_pulls),
+        }
+    }
+
+    /// Whether it may run again.
+    pub fn repeat(&self) -> Repeat {
+        self.repeat
+    }
+
+    /// How many pulls it may take.
+    pub fn max_pulls(&self) -> usize {
+        self.max_pulls as usize
+    }
+}
--- a/src/policy/ends.rs
+++ b/src/policy/ends.rs
@@ -53,8 +53,8 @@
             let share = ((worked + 2.0) / (worked + failed + 2.0)).max(FURTHER_FLOOR);
             let in_time = dl.d.expires.since(now).secs() > dl.work_s;
             let storm = self.storm.as_ref().map_or(1.0, |storm| storm.further(dl.d.content_type));
-            let pulls = dl.pulls.len() + usize::from(dl.claim.spent);
-            let most = dl.under.max_pulls();
+            let pulls = dl.pulls.len() + usize::from(dl.reservation.spent);
+            let most = dl.pinned.max_pulls();
             let allowed = in_time && pulls < most;
             // What a parent lacks, or the origin refused or failed, is to be had nowhere else.
             let nowhere = (end.outcome == NotHeld && !missed && !lacks) || end.remark == Remark::OriginFailed;
@@ -216,7 +216,7 @@
             self.mark(now, silent, false, false, out);
         }
         let aside = self.nodes.get(silent).is_some_and(|n| n.aside_until > now);
-        let retriable = |dl: &&Dl| dl.under.repeat() == Repeat::Retriable;
+        let retriable = |dl: &&Dl| dl.pinned.repeat() == Repeat::Retriable;
         let stuck = self.dls.iter().filter(|dl| aside && dl.stage == Stage::Pulling).filter(retriable);
         for id in stuck.map(|dl| dl.d.dl).collect::<Vec<_>>() {
             self.call_off(id, Some(silent), out);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,18 +2,18 @@
 //! a method for each thing that happens. The module answers through the `Outbox` it is handed, before the
 //! call returns. Words and trait: `src/interface.rs`.
 
-use crate::cold::{Rate, one_place};
+use crate::fleet::bandwidth_share::BandwidthShare;
+use crate::fleet::origin_limiter::OriginLimiter;
+use crate::fleet::overload_control::{Admission, OverloadControl, Supply};
+use crate::fleet::slow_start::{Rate, keep_one_cold};
 use crate::interface::*;
-use crate::link::Link;
 use crate::nodes::{Node, Nodes};
+use crate::pinned_rules::PinnedRules;
 use crate::purges::{Purged, Purges};
 use crate::size::PROBE_EVERY;
-use crate::spare::Origin;
 use crate::state::*;
-use crate::storm::{Admission, Storm, Supply};
 use crate::structures::random::Random;
 use crate::structures::ring_buffer::RingBuffer;
-use crate::under::Under;
 
 mod ends;
 mod fill;
@@ -70,13 +70,13 @@
     dls: Slots<Dl>,
     shadows: Shadows,
     fills: Fills, // kept fills by their ratio
-    link: Link,
+    link: BandwidthShare,
     fill_usual_s: f64,      // of fills that worked, from send to end
-    origin: Origin,         // how far it is spared
+    origin: OriginLimiter,  // how far it is spared
     further: RingBuffer<2>, // further pulls that worked, that failed
     purges: Purges,
-    storm: Option<Storm>, // off unless the operators tell of storms
-    again: Nanos,         // when the cold node that was asked last bears a pull of this one's
+    storm: Option<OverloadControl>, // off unless the operators tell of storms
+    again: Nanos,                   // when the cold node that was asked last bears a pull of this one's
     random: Random,
     serial: u32,
 }
@@ -85,16 +85,16 @@
     /// A dispatcher that knows its settings and nothing else.
     pub fn new(s: Settings) -> Self {
         let row = |told: &ContentType| TypeRow::new(told, DEFAULT_WORK_S);
-        let storm = |told| Storm::new(told, &s.content_types, s.max_come_back, s.fall_for, s.seed);
+        let storm = |told| OverloadControl::new(told, &s.content_types, s.max_come_back, s.fall_for, s.seed);
         Dispatcher {
             types: s.content_types.iter().map(row).collect(),
             nodes: Nodes::new(s.zone, s.parent_kind, s.origin_kind, s.sizes_told),
             dls: Slots::default(),
             shadows: Shadows::default(),
             fills: Fills::new(FILLS_SEEN, BUCKETS),
-            link: Link::default(),
+            link: BandwidthShare::default(),
             fill_usual_s: FILL_USUAL_S,
-            origin: Origin::new(),
+            origin: OriginLimiter::new(),
             further: RingBuffer::new(JUDGED_OVER, BUCKETS),
             purges: Purges::default(),
             storm: s.storms.map(storm),
@@ -107,7 +107,7 @@
 
     /// The rules have changed. What was learnt and is in hand stays; seed and storms are as at the start.
     pub fn settings_changed(&mut self, s: &Settings) {
-        self.dls.iter_mut().for_each(|dl| dl.under = dl.under.and(s, dl.d.content_type));
+        self.dls.iter_mut().for_each(|dl| dl.pinned = dl.pinned.and(s, dl.d.content_type));
         self.types.iter_mut().zip(&s.content_types).for_each(|(row, told)| row.told = told.clone());
         self.s = Settings { seed: self.s.seed, storms: self.s.storms, ..s.clone() };
     }
--- a/src/policy/ordinary.rs
+++ b/src/policy/ordinary.rs
@@ -16,7 +16,7 @@
         // Where sizes are not told, what its object took, or its content type takes, stands in.
         self.types[d.content_type.0 as usize].asked(told);
         let work_s = told.or(seen).unwrap_or(self.row(d).mean_work_s);
-        self.dls.put(d.dl.0, Dl::new(*d, work_s, keep, Under::new(&self.s, d.content_type)));
+        self.dls.put(d.dl.0, Dl::new(*d, work_s, keep, PinnedRules::new(&self.s, d.content_type)));
         self.admit(now, d, work_s, out);
     }
 
@@ -40,8 +40,8 @@
         }
         let admission = storm.arrives(now, d, work_s);
         self.storm = Some(storm);
-        let (Admission::Take(claim) | Admission::Later(claim) | Admission::Never(claim)) = admission;
-        self.dls.get_mut(d.dl.0).into_iter().for_each(|dl| dl.claim = claim);
+        let reservation = admission.reservation();
+        self.dls.get_mut(d.dl.0).into_iter().for_each(|dl| dl.reservation = reservation);
         match admission {
             Admission::Take(_) => self.pull(now, d.dl, out),
             Admission::Later(_) => self.give_up(now, d.dl, out),
@@ -99,7 +99,7 @@
             try_for: None,
             rank,
             max_age: self.max_age(now, &dl.d),
-            send_by: dl.may_have_run.and_then(|(first, _)| dl.under.repeat().send_by(first)),
+            send_by: dl.may_have_run.and_then(|(first, _)| dl.pinned.repeat().send_by(first)),
             join: self.s.joins && dl.pulls.len() < 2,
             held_only: by_cache || (by_parent && !self.may_fetch(now, &dl, dl.keep.fill_rank)),
             no_parent_copy: rank == 3 && by_parent,
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -61,7 +61,7 @@
         let answers = |id: NodeId| none_open && self.nodes.get(id).is_some_and(|n| n.started <= now);
         caches.retain(|c| self.may_repeat_at(now, dl, c.1) && (self.open(now, c.1) || answers(c.1)));
         let tried = |id: NodeId| dl.pulls.iter().any(|p| p.left && p.node == id);
-        one_place(&mut caches, |c| self.nodes.is_cold(now, c.1, self.s.cache_cold.warm_after));
+        keep_one_cold(&mut caches, |c| self.nodes.is_cold(now, c.1, self.s.cache_cold.warm_after));
         // A download that this cache could not serve in time would only slow those begun.
         let most = IN_TIME * self.target_s(dl) / dl.work_s;
         // Where all are as full, another cache would only hold less of what is asked for.
--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -3,8 +3,8 @@
 use super::*;
 
 impl Dispatcher {
-    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each
-    /// keeps to its token bucket (`src/cold.rs` states the sum); one large download is not for a cold node.
+    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each keeps to
+    /// its token bucket (`src/fleet/slow_start.rs` states the sum); one large request is not for a cold node.
     pub(super) fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
         let (cold, sharers) = self.cold_start(id);
         if !self.nodes.is_cold(now, id, cold.warm_after) {
@@ -39,7 +39,7 @@
     pub(super) fn may_repeat_at(&self, now: Nanos, dl: &Dl, id: NodeId) -> bool {
         let Some((sent, first)) = dl.may_have_run else { return true };
         let (Some(a), Some(b)) = (self.nodes.get(first), self.nodes.get(id)) else { return false };
-        match dl.under.repeat() {
+        match dl.pinned.repeat() {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
             rule @ Repeat::Deduped { scope, .. } => {
@@ -60,7 +60,7 @@
     /// Gives up at once: throttled where trying again is harmless, else abandoned.
     pub(super) fn give_up(&mut self, now: Nanos, id: DlId, out: &mut impl Outbox) {
         let Some(dl) = self.dls.get(id.0) else { return };
-        let harmless = match dl.under.repeat() {
+        let harmless = match dl.pinned.repeat() {
             Repeat::Retriable | Repeat::Deduped { scope: DedupScope::All, .. } => true,
             _ => dl.may_have_run.is_none(),
         };
--- a/src/repeat.rs
+++ b/src/retry_safety.rs
@@ -1,4 +1,4 @@
-//! Whether a download may run again: what the settings say, and what follows for a further pull (rule 2).
+//! Retry safety: whether a request may run again by its content type's rule, and what follows for a further attempt (rule 2).
 
 use crate::interface::{Nanos, NodeEntry};
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,9 @@
 //! What a dispatcher keeps of its downloads and objects. State only: nothing here decides.
 
 use crate::interface::{ContentType, Download, Nanos, NodeId, ObjectId};
+use crate::pinned_rules::PinnedRules;
 use crate::structures::recency_window::RecencyWindow;
 use crate::structures::ring_buffer::RingBuffer;
-use crate::under::Under;
 
 /// Values at small indices.
 #[derive(Debug, Clone)]
@@ -119,23 +119,23 @@
     pub ratio: f64,
 }
 
-/// What the storm module noted of a download when it came.
+/// What overload control noted of a request when it arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Claim {
-    /// The fingerprint of the download and its repeats.
+pub struct Reservation {
+    /// The fingerprint of the request and its retries.
     pub print: u64,
     /// When it came.
     pub taken: Nanos,
-    /// Its benefit for the work, in steps.
+    /// Its priority level.
     pub level: u8,
-    /// It was let in while others were not.
+    /// It was admitted under overload.
     pub damped: bool,
-    /// Pulls that its earlier tries took.
+    /// Attempts that its earlier tries used.
     pub spent: u8,
 }
 
-impl Claim {
-    /// The level of one that came before its time.
+impl Reservation {
+    /// The level of a retry that came before its retry-after.
     pub const EARLY: u8 = u8::MAX;
 }
 
@@ -160,19 +160,19 @@
     pub may_have_run: Option<(Nanos, NodeId)>,
     /// The node that last answered with an error of its own.
     pub erred_at: Option<NodeId>,
-    /// What the storm module noted.
-    pub claim: Claim,
-    /// The rules that it was taken under.
-    pub under: Under,
+    /// What overload control noted.
+    pub reservation: Reservation,
+    /// The rules that it is pinned to.
+    pub pinned: PinnedRules,
 }
 
 impl Dl {
     /// A download just taken, with its sending time, what MC3 says, and the rules that it is taken under.
-    pub fn new(d: Download, work_s: f64, keep: Keep, under: Under) -> Self {
+    pub fn new(d: Download, work_s: f64, keep: Keep, pinned: PinnedRules) -> Self {
         let (pulls, stage) = (Vec::new(), Stage::Taken);
-        let claim = Claim::default();
+        let reservation = Reservation::default();
         let (missed_at, rides, may_have_run, erred_at) = (None, None, None, None);
-        Dl { d, stage, work_s, keep, pulls, missed_at, rides, may_have_run, erred_at, claim, under }
+        Dl { d, stage, work_s, keep, pulls, missed_at, rides, may_have_run, erred_at, reservation, pinned }
     }
 }
 
--- a/tests/module/cold.rs
+++ b/tests/module/cold.rs
@@ -1,9 +1,9 @@
 //! What cold nodes are sent: by one dispatcher, and by the sum of hundreds.
 
 use crate::common::*;
-use copperroute::cold::{Rate, TokenBucket, one_place};
+use copperroute::fleet::origin_limiter::OriginLimiter;
+use copperroute::fleet::slow_start::{Rate, TokenBucket, keep_one_cold};
 use copperroute::interface::*;
-use copperroute::spare::Origin;
 use copperroute::state::TypeRow;
 use copperroute::structures::random::Random;
 use expect_test::expect;
@@ -73,7 +73,7 @@
 #[test]
 fn of_cold_caches_the_first_is_asked_and_of_warm_ones_any() {
     let mut caches = vec![(1, true), (2, false), (3, true), (4, false)];
-    one_place(&mut caches, |cache| cache.1);
+    keep_one_cold(&mut caches, |cache| cache.1);
     assert_eq!(caches, [(1, true), (2, false), (4, false)]);
 }
 
@@ -161,7 +161,7 @@
 
 #[test]
 fn an_overdue_fill_that_comes_after_all_counts_as_what_it_was() {
-    let mut origin = Origin::new();
+    let mut origin = OriginLimiter::new();
     assert_eq!(origin.share(ms(1_000)), 1.0);
     (0..4).for_each(|_| origin.overdue(ms(1_000)));
     let overdue = origin.share(ms(1_100));
--- a/tests/module/conduct.rs
+++ b/tests/module/conduct.rs
@@ -1,6 +1,6 @@
 //! Clients' conduct: ids that come again, and what is kept of them.
 
-use copperroute::conduct::{Conduct, Verdict};
+use copperroute::fleet::duplicate_filter::{DuplicateFilter, Verdict};
 use copperroute::interface::Nanos;
 use expect_test::expect;
 
@@ -8,7 +8,7 @@
 
 #[test]
 fn an_id_is_refused_while_it_is_kept() {
-    let mut conduct = Conduct::new(Nanos(5 * SECOND), 100);
+    let mut conduct = DuplicateFilter::new(Nanos(5 * SECOND), 100);
     let at = |s: u64| Nanos(100 * SECOND + s * SECOND);
     let verdicts = [
         conduct.judge(at(0), 1),
@@ -22,7 +22,7 @@
 
 #[test]
 fn a_flood_of_new_ids_keeps_no_more_than_the_bound_and_forgets_the_oldest() {
-    let mut conduct = Conduct::new(Nanos(5 * SECOND), 1_000);
+    let mut conduct = DuplicateFilter::new(Nanos(5 * SECOND), 1_000);
     for id in 0..10_000 {
         assert_eq!(conduct.judge(Nanos(SECOND + id), id), Verdict::Take);
     }
--- a/tests/module/opening.rs
+++ b/tests/module/opening.rs
@@ -1,15 +1,15 @@
 //! Connections to nodes: when one more may be opened.
 
 use crate::common::ms;
+use copperroute::fleet::connection_back_off::{ConnectionBackOff, NodeBackOff};
 use copperroute::interface::Nanos;
-use copperroute::opening::{Opening, Openings};
 use expect_test::expect;
 use std::collections::VecDeque;
 use std::fmt::Write as _;
 
 #[test]
 fn a_single_one_that_ends_says_nothing_and_a_row_of_them_waits_longer_each_time() {
-    let (mut all, mut node) = (Openings::new(1), Opening::default());
+    let (mut all, mut node) = (ConnectionBackOff::new(1), NodeBackOff::default());
     let (mut now, mut trace) = (ms(1_000), String::new());
     for _ in 0..10 {
         let until = all.turned_away(now, &mut node);
@@ -34,8 +34,10 @@
 
 #[test]
 fn while_any_node_turns_away_each_gets_one_and_then_a_few_again() {
-    let (mut all, mut full, other) = (Openings::new(1), Opening::default(), Opening::default());
-    let held = |all: &Openings, now| (0..9).find(|held| !all.may_open(now, &other, *held)).unwrap_or(9);
+    let (mut all, mut full, other) =
+        (ConnectionBackOff::new(1), NodeBackOff::default(), NodeBackOff::default());
+    let held =
+        |all: &ConnectionBackOff, now| (0..9).find(|held| !all.may_open(now, &other, *held)).unwrap_or(9);
     assert_eq!(held(&all, ms(0)), 4);
     all.turned_away(ms(0), &mut full);
     assert_eq!(held(&all, ms(0)), 4);
@@ -51,7 +53,7 @@
 /// many were opened in all, and when the last had its own.
 fn crowd(many: usize, takes: usize, patient: bool) -> (usize, Option<f64>) {
     let mut each: Vec<_> =
-        (0..many).map(|at| (Openings::new(at as u64), Opening::default(), false)).collect();
+        (0..many).map(|at| (ConnectionBackOff::new(at as u64), NodeBackOff::default(), false)).collect();
     let (mut opened, mut last_second) = (0, VecDeque::<Nanos>::new());
     for step in 0..3_000 {
         let now = ms(step * 20);
