--- a/src/policy/rules.rs
+++ b/src/policy/rules.rs
@@ -3,8 +3,8 @@
 use super::*;
 
 impl Dispatcher {
-    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each keeps to
-    /// its token bucket (`src/fleet/slow_start.rs` states the sum); one large request is not for a cold node.
+    /// Rule 4: a cold node bears multiple x present capacity x window from all dispatchers together. Each
+    /// keeps to its token bucket (`src/fleet/slow_start.rs` states the sum); one large request is not sent.
     pub(super) fn bears(&mut self, now: Nanos, id: NodeId, work_s: f64) -> bool {
         let (cold, sharers) = self.cold_start(id);
         if !self.nodes.is_cold(now, id, cold.warm_after) {
