--- a/dispatcher/src/reducer/changes.rs
+++ b/dispatcher/src/reducer/changes.rs
@@ -90,7 +90,7 @@
             readiness,
             connections: Vec::new(),
             listed: self.desk.now,
-            opening: Opening::default(),
+            opening: NodeBackOff::default(),
         };
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
