--- a/lab/src/fleet_simulation/world.rs
+++ b/lab/src/fleet_simulation/world.rs
@@ -196,7 +196,7 @@
             Occurrence::Version => self.version(),
             Occurrence::LogLine => {
                 if self.sources[0].process_up {
-                    self.broadcast(0, |last| Payload::Line(last));
+                    self.broadcast(0, Payload::Line);
                 }
                 self.put(self.now.after(SECOND), Occurrence::LogLine);
             }
