--- a/lab/src/capacity/hollow/dispatcher.rs
+++ b/lab/src/capacity/hollow/dispatcher.rs
@@ -12,6 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -109,7 +110,7 @@
         let mut put_off = 0;
         while !self.exited {
             let next = self.timers.next().unwrap_or_else(|| self.clock.now());
-            let next = tokio::time::Instant::from_std(self.clock.instant(next));
+            let wait = Duration::from_nanos(next.since(self.clock.now()).0);
             // What has come is read before time is called on it.
             let first = put_off < TURNS_FIRST;
             tokio::select! {
@@ -119,7 +120,7 @@
                     put_off += 1;
                     self.arrived(arrival);
                 }
-                () = tokio::time::sleep_until(next) => {
+                () = tokio::time::sleep(wait) => {
                     put_off = 0;
                     self.call_time();
                 }
