--- a/lab/src/capacity/hollow/dispatcher.rs
+++ b/lab/src/capacity/hollow/dispatcher.rs
@@ -3,11 +3,11 @@
 
 use super::Signal;
 use super::records::{Record, Records};
-use super::timers::Timers;
 use crate::capacity::clock::unix_us;
 use copperroute_dispatcher::clock::{Clock, Epoch};
 use copperroute_dispatcher::config::Config;
-use copperroute_dispatcher::effects::{Effect, Event, Peer};
+use copperroute_dispatcher::deadlines::Deadlines;
+use copperroute_dispatcher::effects::{Due, Effect, Event, Peer};
 use copperroute_dispatcher::reducer::Reducer;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     clock: Clock,
     reducer: Reducer,
     connections: HashMap<Peer, Connection>,
-    timers: Timers,
+    timers: Deadlines<Due>,
     /// Connections that could not be made, to be told once what was asked for is carried out.
     unopened: VecDeque<Peer>,
     broken: VecDeque<Peer>,
@@ -90,7 +90,7 @@
             clock,
             reducer: Reducer::new(config, epoch),
             connections: HashMap::new(),
-            timers: Timers::default(),
+            timers: Deadlines::default(),
             unopened: VecDeque::new(),
             broken: VecDeque::new(),
             arrive,
@@ -109,7 +109,7 @@
         self.reduce(Event::Started);
         let mut put_off = 0;
         while !self.exited {
-            let next = self.timers.next().unwrap_or_else(|| self.clock.now());
+            let next = self.timers.first().unwrap_or_else(|| self.clock.now());
             let wait = Duration::from_nanos(next.since(self.clock.now()).0);
             // What has come is read before time is called on it.
             let first = put_off < TURNS_FIRST;
@@ -159,9 +159,9 @@
     }
 
     fn call_time(&mut self) {
-        while let Some(due) = self.timers.take_due(self.clock.now()) {
-            self.reduce(Event::Due(due));
-        }
+        let mut due = Vec::new();
+        self.timers.take_due(self.clock.now(), &mut due);
+        due.into_iter().for_each(|due| self.reduce(Event::Due(due)));
     }
 
     /// Hands in an event, carries out what it asks for, and tells what has come of it.
--- a/lab/src/capacity/hollow/mod.rs
+++ b/lab/src/capacity/hollow/mod.rs
@@ -6,7 +6,6 @@
 
 mod dispatcher;
 mod records;
-mod timers;
 
 pub use records::Record;
 
