--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -17,5 +17,6 @@
 mod rules_text;
 mod run_line;
 mod storm;
+mod two_streams;
 mod two_streams_process;
 mod unsent;
