--- a/dispatcher/src/lib.rs
+++ b/dispatcher/src/lib.rs
@@ -2,11 +2,13 @@
 //! carries sockets, timers and signals to it and carries out the effects that it asks for.
 
 pub mod agreed;
+pub mod attempt;
 pub mod changes;
 pub mod clients;
 pub mod clock;
 pub mod config;
 pub mod copies;
+pub mod deadlines;
 pub mod desk;
 pub mod effects;
 pub mod event_loop;
--- a/tests/module/main.rs
+++ b/tests/module/main.rs
@@ -15,4 +15,6 @@
 mod rules;
 mod sizes;
 mod spared;
+mod storm_day;
 mod storms;
+mod structures;
