--- a/dispatcher/src/changes/mod.rs
+++ b/dispatcher/src/changes/mod.rs
@@ -114,11 +114,15 @@
         self.merge.applied()
     }
 
-    /// The dispatcher starts, with a list that will do or without.
+    /// The dispatcher starts, with a list that will do or without. At one address who has a list lets those go first
+    /// that have none. Where replicas are followed all call in the next round: until then nothing is heard of purges,
+    /// and with a stream at each of two the time after starts is most of that. Either way each calls a replica at most
+    /// once a round, at a place that it draws, so no replica gets more calls than rounds are laid out for.
     pub fn start(&mut self, has_list: bool, now: Nanos, effects: &mut Vec<Effect>) {
         self.told_all = now;
+        let lets_others_first = has_list && self.streams.len() == 1;
         for of in 0..self.streams.len() {
-            let at = self.streams[of].started(now, has_list);
+            let at = self.streams[of].started(now, lets_others_first);
             self.call_at(of, at, now, effects);
         }
     }
--- a/dispatcher/tests/dispatcher/two_streams.rs
+++ b/dispatcher/tests/dispatcher/two_streams.rs
@@ -26,32 +26,49 @@
     config
 }
 
-/// A dispatcher that follows two replicas and is caught up with both: by `ChangeLog(1)` and `ChangeLog(2)`. It has a list,
-/// so it calls in the last round in which it still hears in time.
+/// A round of calls: 59 dispatchers, all of which follow both of two replicas, at 0.8 of 60 calls a second.
+const ROUND_MS: u64 = 1_230;
+
+/// A dispatcher that follows two replicas and is caught up with both: by `ChangeLog(1)` and `ChangeLog(2)`.
 fn followed() -> Play {
     let mut play = Play::with(config(&[2381, 2382]));
-    play.pass(6_600);
-    let trace = play.take();
-    assert!(
-        trace.contains("ChangeLog(1) <- since 1") && trace.contains("ChangeLog(2) <- since 1"),
-        "{trace}"
-    );
+    play.pass(ROUND_MS);
+    expect![[r#"
+        connect ChangeLog(1) 127.0.0.1:2382
+        ChangeLog(1) <- since 1\n
+        connect ChangeLog(2) 127.0.0.1:2381
+        ChangeLog(2) <- since 1\n
+    "#]]
+    .assert_eq(&streams(&mut play));
     ["1", "1"].iter().zip(1..).for_each(|(line, connection)| play.log(connection, line));
     both(&mut play, &[1, 2], 1);
-    assert_eq!(play.take(), "");
-    // The first client was idle for too long.
-    play.event(Event::Accepted(1, LOOPBACK));
+    assert_eq!(streams(&mut play), "");
     play
 }
 
+/// What was done about streams since the last call, with the marks of the test.
+fn streams(play: &mut Play) -> String {
+    let trace = play.take();
+    let of_streams = trace.lines().filter(|line| !line.contains("Client(") && !line.contains("Node("));
+    of_streams.map(|line| format!("{line}\n")).collect()
+}
+
+/// A client that has just come asks: the first may have been idle for too long.
+fn ask(play: &mut Play, tag: u64, id: &str, more: &str) {
+    let client = 100 + tag as u32;
+    play.event(Event::Accepted(client, LOOPBACK));
+    play.event(Event::Received(Peer::Client(client), &request(tag, "image", id, more)));
+}
+
 /// A second's line from each of these connections.
 fn both(play: &mut Play, connections: &[u32], last: u64) {
     play.pass(1_000);
     connections.iter().for_each(|connection| play.log(*connection, &last.to_string()));
 }
 
+/// It happened when `followed` returns: told then, nothing is wrong with the clocks.
 fn purge(seq: u64, object: &str) -> String {
-    format!(r#"{{"seq":{seq},"invalidate":{{"object":"{object}","time":1764576007600}}}}"#)
+    format!(r#"{{"seq":{seq},"invalidate":{{"object":"{object}","time":1764576002230}}}}"#)
 }
 
 fn leaving(seq: u64, node: &str, port: u16) -> String {
@@ -64,7 +81,7 @@
 fn asked(play: &mut Play) -> String {
     play.take();
     for tag in 0..6 {
-        play.client(&request(100 + tag, "image", &format!("{tag:04x}"), &format!(",need=100,block={tag}")));
+        ask(play, tag, &format!("{tag:04x}"), &format!(",need=100,block={tag}"));
     }
     let trace = play.take();
     let asks = |port: &str| trace.contains(&format!("127.0.0.1:{port}"));
@@ -75,22 +92,40 @@
 fn events_keep_coming_while_one_stream_is_lost_and_that_one_is_called_in_rounds() {
     let mut play = followed();
     play.event(Event::Closed(Peer::ChangeLog(1)));
+    play.trace.push_str("not called at once\n");
     play.log(2, &purge(2, "7f3a"));
-    for last in [2, 2] {
-        both(&mut play, &[2], last);
-    }
-    play.trace.push_str("one is back\n");
+    assert_eq!(play.applied(), 2);
+    play.pass(ROUND_MS);
+    play.log(2, "2");
+    play.trace.push_str("within a round\n");
     play.log(3, "2");
-    play.log(3, &purge(3, "7f3b"));
-    play.log(2, &purge(3, "7f3b"));
+    both(&mut play, &[2, 3], 2);
+    for told in [3, 2] {
+        play.log(told, &purge(3, "7f3b"));
+        assert_eq!(play.applied(), 3);
+    }
     both(&mut play, &[2, 3], 3);
     play.trace.push_str("the other is silent\n");
-    for _ in 0..3 {
-        both(&mut play, &[3], 3);
-    }
+    both(&mut play, &[3], 3);
+    both(&mut play, &[3], 3);
+    play.trace.push_str("for two seconds\n");
     play.log(3, &purge(4, "7f3c"));
-    play.pass(1_000);
-    expect![[r#""#]].assert_eq(&play.take());
+    assert_eq!(play.applied(), 4);
+    both(&mut play, &[3], 4);
+    play.pass(ROUND_MS);
+    expect![[r#"
+        close ChangeLog(1)
+        not called at once
+        connect ChangeLog(3) 127.0.0.1:2382
+        ChangeLog(3) <- since 2\n
+        within a round
+        the other is silent
+        for two seconds
+        close ChangeLog(2)
+        connect ChangeLog(4) 127.0.0.1:2381
+        ChangeLog(4) <- since 4\n
+    "#]]
+    .assert_eq(&streams(&mut play));
 }
 
 #[test]
@@ -102,6 +137,7 @@
         for _ in 0..4 {
             seq += 1;
             play.log(connections[heard], &purge(seq, "7f3a"));
+            assert_eq!(play.applied(), seq, "turn {turn}");
             both(&mut play, &[connections[heard]], seq);
         }
         let trace = play.take();
@@ -115,7 +151,7 @@
         // It tells all from there, which is known already.
         (since + 1..=seq).for_each(|seq| play.log(connections[silent], &purge(seq, "7f3a")));
         both(&mut play, &connections, seq);
-        assert_eq!(play.take(), "", "turn {turn}");
+        assert_eq!(streams(&mut play), "", "turn {turn}");
     }
     assert_eq!(play.applied(), seq);
 }
@@ -126,26 +162,35 @@
     play.log(1, &leaving(3, "s-b", 6002));
     assert_eq!((play.applied(), asked(&mut play).as_str()), (1, "s-a true, s-b true"));
     play.log(2, &leaving(2, "s-a", 6001));
-    assert_eq!(play.applied(), 3);
+    assert_eq!((play.applied(), asked(&mut play).as_str()), (3, "s-a false, s-b false"));
     play.log(2, &leaving(3, "s-b", 6002));
     both(&mut play, &[1, 2], 3);
-    assert!(!play.take().contains("close ChangeLog"));
-    // One that nobody fills is asked for again, and stands when it comes again.
-    play.log(1, &purge(5, "7f3a"));
+    assert_eq!(streams(&mut play), "");
+}
+
+#[test]
+fn a_gap_that_nobody_fills_is_asked_for_once_more() {
+    let mut play = followed();
+    play.log(1, &purge(3, "7f3a"));
     play.pass(900);
-    play.log(2, "3");
-    assert_eq!(play.take(), "");
-    play.pass(400);
-    play.log(2, "3");
-    play.trace.push_str("asked again\n");
-    play.pass(1_000);
-    play.log(2, "3");
-    play.log(3, &purge(5, "7f3a"));
+    play.log(2, "1");
+    assert_eq!((play.applied(), streams(&mut play).as_str()), (1, ""));
+    // It is looked for each quarter of a second.
+    play.pass(350);
+    assert_eq!(play.applied(), 1);
+    play.trace.push_str("after a second\n");
+    play.pass(ROUND_MS);
+    play.log(2, "1");
+    play.trace.push_str("within a round\n");
+    // It comes so again: the other has its second once more, then what lies between is not to be had.
+    play.log(3, &purge(3, "7f3a"));
     play.pass(900);
-    play.log(2, "3");
-    play.pass(400);
-    assert_eq!(play.applied(), 5);
-    expect![[r#""#]].assert_eq(&play.take());
+    play.log(2, "1");
+    assert_eq!(play.applied(), 1);
+    play.pass(350);
+    eprintln!("{}", play.trace);
+    assert_eq!(play.applied(), 3);
+    expect![[r#""#]].assert_eq(&streams(&mut play));
 }
 
 #[test]
@@ -159,7 +204,11 @@
     alone.log(2, &leaving(2, "s-a", 6001));
     let mut trace = format!("one content: {}\n", asked(&mut alone));
     trace += &format!("two contents: {}\n", asked(&mut play));
-    expect![[r#""#]].assert_eq(&trace);
+    expect![[r#"
+        one content: s-a false, s-b true
+        two contents: s-a false, s-b false
+    "#]]
+    .assert_eq(&trace);
 }
 
 #[test]
@@ -186,57 +235,94 @@
     "#]].assert_eq(&taken.concat());
 }
 
+/// How many pulls one download is allowed: two for a dispatcher that is out of touch, more for one in touch.
+fn pulls(play: &mut Play) -> usize {
+    play.take();
+    ask(play, 7, "0001", ",need=100");
+    (0..8).for_each(|_| play.node("0001 refused - 0"));
+    play.take().matches("<- fetch").count()
+}
+
 #[test]
-fn a_stream_that_is_behind_or_waited_on_its_way_renews_no_lease() {
-    // Out of touch, two pulls are allowed; in touch six.
-    let pulls = |play: &mut Play| {
-        play.take();
-        play.client(&request(7, "image", "0001", ",need=100"));
-        (0..8).for_each(|_| play.node("0001 refused - 0"));
-        play.take().matches("<- fetch").count()
+fn a_stream_that_is_behind_renews_no_lease() {
+    // Event 2 comes by one stream, which ends; for 3.1 s what is left says that it knows of events up to this one.
+    let left_says = |last: u64| {
+        let mut play = followed();
+        play.log(1, &purge(2, "7f3a"));
+        if last == 2 {
+            play.log(2, &purge(2, "7f3a"));
+        }
+        play.event(Event::Closed(Peer::ChangeLog(1)));
+        for _ in 0..2 {
+            both(&mut play, &[2], last);
+        }
+        play.pass(1_100);
+        pulls(&mut play)
     };
-    let mut play = followed();
-    let in_touch = pulls(&mut play);
-    play.event(Event::Closed(Peer::ChangeLog(2)));
-    play.log(1, &purge(2, "7f3a"));
-    // What is left says less than was applied.
-    let mut behind = followed();
-    behind.log(1, &purge(2, "7f3a"));
-    behind.event(Event::Closed(Peer::ChangeLog(1)));
-    for _ in 0..2 {
-        both(&mut behind, &[2], 1);
-    }
-    behind.pass(1_100);
-    let lapsed = pulls(&mut behind);
-    // One is held on its way; meanwhile the other, which is behind, is heard.
-    let mut held = followed();
-    held.log(1, &purge(2, "7f3a"));
-    both(&mut held, &[2], 1);
-    held.pass(900);
-    held.log(2, "1");
-    (0..2).for_each(|_| held.log(1, "2"));
-    held.pass(1_200);
-    let waited = pulls(&mut held);
-    expect![[r#""#]].assert_eq(&format!("in touch {in_touch}, behind {lapsed}, waited {waited}\n"));
+    assert_eq!(format!("in touch {}, behind {}", left_says(2), left_says(1)), "in touch 4, behind 2");
+}
+
+#[test]
+fn a_heartbeat_that_waited_on_its_way_renews_no_lease() {
+    // One stream is heard each second or is held for 1.9 s on its way; the other, which is behind, is heard meanwhile.
+    let is_held = |held: bool| {
+        let mut play = followed();
+        play.log(1, &purge(2, "7f3a"));
+        both(&mut play, &[2], 1);
+        if !held {
+            play.log(1, "2");
+        }
+        play.pass(900);
+        play.log(2, "1");
+        play.log(1, "2");
+        if held {
+            play.log(1, "2");
+        }
+        play.pass(1_200);
+        pulls(&mut play)
+    };
+    assert_eq!(format!("in time {}, held {}", is_held(false), is_held(true)), "in time 4, held 2");
 }
 
 #[test]
 fn a_stream_from_a_replica_that_stays_lives_on_when_others_are_told() {
     let mut play = followed();
-    // Of more replicas this dispatcher may follow others: whichever stay must not be touched.
     play.event(Event::Reload(&config(&[2381, 2382])));
-    assert_eq!(play.take(), "");
+    assert_eq!(streams(&mut play), "");
     play.event(Event::Reload(&config(&[2381, 2383])));
+    play.trace.push_str("another one instead of 2382\n");
+    play.pass(ROUND_MS);
+    play.log(2, "1");
     for _ in 0..3 {
         both(&mut play, &[2, 3], 1);
     }
+    play.log(2, &purge(2, "7f3a"));
+    assert_eq!(play.applied(), 2);
     play.trace.push_str("one address again\n");
     play.event(Event::Reload(&Config::parse(CONFIG).expect("good")));
-    play.pass(10);
     play.trace.push_str("two replicas again\n");
     play.event(Event::Reload(&config(&[2381, 2382])));
-    play.pass(1_500);
-    expect![[r#""#]].assert_eq(&play.take());
+    play.trace.push_str("in their places of the round\n");
+    play.pass(ROUND_MS);
+    expect![[r#"
+        close ChangeLog(1)
+        another one instead of 2382
+        connect ChangeLog(3) 127.0.0.1:2383
+        ChangeLog(3) <- since 1\n
+        one address again
+        close ChangeLog(3)
+        connect ChangeLog(4) 127.0.0.1:2379
+        ChangeLog(4) <- since 2\n
+        close ChangeLog(2)
+        two replicas again
+        close ChangeLog(4)
+        in their places of the round
+        connect ChangeLog(5) 127.0.0.1:2381
+        ChangeLog(5) <- since 2\n
+        connect ChangeLog(6) 127.0.0.1:2382
+        ChangeLog(6) <- since 2\n
+    "#]]
+    .assert_eq(&streams(&mut play));
 }
 
 #[test]
@@ -245,10 +331,25 @@
     play.log(1, &purge(2, "7f3a"));
     play.log(2, &purge(2, "7f3a"));
     both(&mut play, &[1, 2], 2);
-    for _ in 0..5 {
+    // For two seconds either vouches for event 2 by what it said before, and after that each says three times less.
+    for _ in 0..4 {
         both(&mut play, &[1, 2], 1);
     }
-    play.pass(2_000);
+    assert_eq!((play.applied(), streams(&mut play).as_str()), (2, ""));
+    both(&mut play, &[1, 2], 1);
     assert_eq!(play.applied(), 0);
-    expect![[r#""#]].assert_eq(&play.take());
+    play.trace.push_str("not called at once\n");
+    play.pass(ROUND_MS);
+    expect![[r#"
+        close ChangeLog(2)
+        close ChangeLog(1)
+        not called at once
+        connect ChangeLog(3) 127.0.0.1:2381
+        ChangeLog(3) <- since 0\n
+        connect ChangeLog(4) 127.0.0.1:2382
+        ChangeLog(4) <- since 0\n
+    "#]]
+    .assert_eq(&streams(&mut play));
+    play.log(3, &purge(1, "7f3a"));
+    assert_eq!(play.applied(), 1);
 }
