--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -21,4 +21,7 @@
 mod rules_text;
 mod run_line;
 mod storm;
+mod two_streams;
+mod two_streams_process;
+mod two_streams_sum;
 mod unsent;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! adapter calls [`policy::Dispatcher`] and hands it an [`interface::Outbox`] to answer through.
 
 pub mod calls;
+pub mod change_log;
 pub mod fleet;
 pub mod interface;
 pub mod nodes;
