A replica of the change log: copperroute relay, a package of its own

The users' fleet of two years follows one change log by one stream each; a loss of it breaks the bound on purges for all.

The package relay/ follows the change log, or another replica, in the protocol as it is, and serves it: lines and numbers unchanged, retention by time and bytes, whole lists composed where it holds one, heartbeats passed on for those that came and never begun, so that what goes round in a cycle runs out.

The socket tests have not been run.

--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -2,7 +2,8 @@
 
 use clap::{Args, Parser, Subcommand};
 use copperroute_dispatcher::config::{Agreeing, Sources};
-use copperroute_dispatcher::{event_loop, rules_text};
+use copperroute_dispatcher::{event_loop, logs, rules_text};
+use copperroute_relay::config::Config as RelayConfig;
 use copperroute_settings::operator::Operator;
 use copperroute_store::disk::inspect;
 use copperroute_store::record::Head;
@@ -43,8 +44,18 @@
         #[command(subcommand)]
         what: RulesCommand,
     },
+    /// Follows the change log, or another replica, and serves it to dispatchers and replicas until SIGTERM.
+    Relay {
+        /// The replica's configuration file (`copperroute schema --relay` tells its form).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
     /// Prints the schema of the operator's file.
-    Schema,
+    Schema {
+        /// Of a replica's configuration file instead.
+        #[arg(long)]
+        relay: bool,
+    },
     /// Prints the version.
     Version,
 }
@@ -170,7 +181,17 @@
     match command {
         Command::Version => println!("copperroute {}", env!("CARGO_PKG_VERSION")),
         // Who reads no further than a part of it is not told.
-        Command::Schema => drop(writeln!(std::io::stdout(), "{:#}", Operator::schema())),
+        Command::Schema { relay } => {
+            let schema = if relay { RelayConfig::schema() } else { Operator::schema() };
+            drop(writeln!(std::io::stdout(), "{schema:#}"));
+        }
+        Command::Relay { config } => {
+            let config = RelayConfig::read(&config).map_err(|fault| (UNUSABLE, fault))?;
+            let log = logs::start();
+            let served = copperroute_relay::event_loop::serve(&config);
+            log.finish();
+            served.map_err(|fault| (FAILED, fault))?;
+        }
         Command::Store { what } => look(what)?,
         Command::Rules { what } => rules(what)?,
         Command::Check(files) => {
--- /dev/null
+++ b/relay/src/sparse.rs
@@ -0,0 +1,33 @@
+//! Lines that others cause at will: some are written, the rest is counted.
+
+use copperroute::interface::Nanos;
+
+/// Lines within `PERIOD`, so that who causes them can't fill the log.
+const LINES: u32 = 10;
+const PERIOD: Nanos = Nanos(10_000_000_000);
+
+/// How many such lines were written lately.
+#[derive(Debug, Default)]
+pub struct Sparse {
+    since: Nanos,
+    said: u32,
+    left_out: u32,
+}
+
+impl Sparse {
+    /// Writes a line, if there were not many lately.
+    pub fn warn(&mut self, now: Nanos, line: std::fmt::Arguments<'_>) {
+        if now.since(self.since) > PERIOD {
+            if self.left_out > 0 {
+                log::warn!("{} lines like those before left out", self.left_out);
+            }
+            *self = Sparse { since: now, said: 0, left_out: 0 };
+        }
+        if self.said < LINES {
+            self.said += 1;
+            log::warn!("{line}");
+        } else {
+            self.left_out = self.left_out.saturating_add(1);
+        }
+    }
+}
--- /dev/null
+++ b/relay/tests/relay/lines.rs
@@ -0,0 +1,85 @@
+//! Lines are read for their numbers and kept as they came.
+
+use crate::common::{delta, list, purge};
+use copperroute::chance::Chance;
+use copperroute_relay::lines::{Ask, Asked, Decoder, Kind, Line};
+use proptest::prelude::*;
+
+fn lines(bytes: &[u8], seed: u64) -> Vec<Line> {
+    let (mut decoder, mut chance, mut rest, mut lines) =
+        (Decoder::default(), Chance::new(seed), bytes, Vec::new());
+    while !rest.is_empty() {
+        let (cut, left) = rest.split_at(1 + (chance.share() * rest.len() as f64) as usize);
+        decoder.feed(cut);
+        while let Some(line) = decoder.next_line().expect("readable") {
+            lines.push(line);
+        }
+        rest = left;
+    }
+    lines
+}
+
+#[test]
+fn lines_keep_their_bytes_in_all_cuts() {
+    let odd = r#"{ "seq" : 4 , "invalidate":{"time":4.0e3,"bucket":  1}, "é":"\u00e9", "n":1.10 }"#;
+    let told = [list(1), delta(2, "s-1", "leaving"), purge(3), odd.to_string(), r#"{"seq":5}"#.into()];
+    let mut text = told.join("\n") + "\n5\n";
+    text += "{\"seq\":6,\"rules\":{\"version\":1}}\n";
+    for seed in 0..100 {
+        let lines = lines(text.as_bytes(), seed);
+        let back: String = lines
+            .iter()
+            .map(|line| match line {
+                Line::Event(event) => format!("{}\n", event.line),
+                Line::Heartbeat(last) => format!("{last}\n"),
+            })
+            .collect();
+        assert_eq!(back, text, "seed {seed}");
+        let kinds: Vec<_> = lines
+            .iter()
+            .filter_map(|line| match line {
+                Line::Event(event) => Some((event.seq, event.kind)),
+                Line::Heartbeat(_) => None,
+            })
+            .collect();
+        let expected = [
+            (1, Kind::WholeList),
+            (2, Kind::State),
+            (3, Kind::Passing),
+            (4, Kind::Unreadable),
+            (5, Kind::Passing),
+            (6, Kind::State),
+        ];
+        assert_eq!(kinds, expected);
+    }
+}
+
+#[test]
+fn a_line_without_a_number_ends_the_reading() {
+    for text in ["{}\n", "hello\n", "{\"seq\":\n", "{\"seq\":-1}\n", "\n"] {
+        let mut decoder = Decoder::default();
+        decoder.feed(text.as_bytes());
+        assert!(decoder.next_line().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_follower_says_one_line() {
+    let asked = |text: &str| Ask::default().feed(text.as_bytes());
+    assert_eq!(asked("since 41\n"), Asked::Since(41));
+    assert_eq!(asked("since 41\r\n"), Asked::Since(41));
+    assert_eq!(asked("since 4"), Asked::NotYet);
+    for text in ["since\n", "since -1\n", "GET / HTTP/1.1\n", "since 1 2\n", &"x".repeat(100)] {
+        assert!(matches!(asked(text), Asked::Unreadable(_)), "{text}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_upset_it(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let mut decoder = Decoder::default();
+        decoder.feed(&bytes);
+        while let Ok(Some(_)) = decoder.next_line() {}
+        let _ = Ask::default().feed(&bytes);
+    }
+}
