--- a/dispatcher/src/desk/mod.rs
+++ b/dispatcher/src/desk/mod.rs
@@ -7,11 +7,11 @@
 use crate::copies::{self, Offered};
 use crate::effects::{Due, Effect};
 use crate::nodes::{Next, Nodes, Pool, PullRef};
-use copperroute::ids::Ids;
 use copperroute::interface::{
     DlId, Download, Nanos, NodeId, ObjectId, Outbox, Outcome, Pull, PullEnd, Readiness, Remark, Report,
 };
 use copperroute::state::Slots;
+use copperroute::structures::ids::Ids;
 use copperroute_protocol::clients::{Answer, Request};
 use copperroute_protocol::hex::Hex;
 use copperroute_protocol::nodes::{self, Fetch};
@@ -220,7 +220,7 @@
         open
     }
 
-    /// What a client sends can't be read on: what it asked before is answered, then its connection ends.
+    /// A client has broken the protocol: what it asked before is answered, then its connection ends.
     pub fn close_when_answered(&mut self, client: u32) {
         if let Some(client) = self.clients.get_mut(client) {
             client.close_when_answered();
@@ -228,7 +228,16 @@
         self.shut_if_answered(client);
     }
 
-    fn shut_if_answered(&mut self, client: u32) {
+    /// The same where nothing that it sends can be read on.
+    pub fn cannot_be_read(&mut self, client: u32) {
+        if let Some(client) = self.clients.get_mut(client) {
+            client.cannot_be_read();
+        }
+        self.shut_if_answered(client);
+    }
+
+    /// Ends a connection that asks for nothing new, once nothing is open on it.
+    pub fn shut_if_answered(&mut self, client: u32) {
         if self.clients.get_mut(client).is_some_and(|client| client.is_closing() && client.open.is_empty()) {
             self.shut_client(client);
         }
@@ -312,11 +321,20 @@
         self.take_back_of(|pull, _, _| pull.dl == dl);
     }
 
+    /// Whether a pull of the download with that serial is still out.
+    pub fn is_out(&self, pull: PullRef, serial: u64) -> bool {
+        self.out(pull, serial).is_some()
+    }
+
+    /// A pull that is still out, of the download with that serial.
+    fn out(&self, pull: PullRef, serial: u64) -> Option<&HeldPull> {
+        let held = self.held.get(pull.dl.0).filter(|held| held.serial == serial)?;
+        held.pulls.get(pull.number as usize).filter(|out| out.out)
+    }
+
     /// A pull that may be sent until now only is taken back, if it has not left whole.
     pub fn too_late(&mut self, pull: PullRef, serial: u64) {
-        let held = self.held.get(pull.dl.0).filter(|held| held.serial == serial);
-        let out = held.and_then(|held| held.pulls.get(pull.number as usize)).filter(|out| out.out);
-        let Some(connection) = out.map(|out| out.connection) else { return };
+        let Some(connection) = self.out(pull, serial).map(|out| out.connection) else { return };
         self.take_back_of(|other, _, _| *other == pull);
         // A part of it has left: the node must not get the rest.
         if self.nodes.is_partly_written(connection, pull) {
