--- a/relay/src/core.rs
+++ b/relay/src/core.rs
@@ -104,6 +104,8 @@
     doubt: Option<Doubt>,
     lines_behind: u32,
     followers: Followers,
+    /// When followers were last looked through for slow ones.
+    looked: Nanos,
     refused: Sparse,
     faults: Faults,
     effects: Vec<Effect>,
@@ -130,6 +132,7 @@
             doubt: None,
             lines_behind: 0,
             followers: Followers::new(config.followers),
+            looked: Nanos::ZERO,
             refused: Sparse::default(),
             faults: Faults::default(),
             effects: Vec::new(),
@@ -208,14 +211,23 @@
             self.lose(now, "silent");
         }
         self.retention.forget(now);
-        for (id, why) in self.followers.too_slow(now, &self.retention) {
-            self.refuse(now, id, &why);
-        }
+        self.look_for_slow(now);
         if self.phase == Phase::Waiting && self.calls.is_due(now) {
             self.call(now);
         }
     }
 
+    /// Looks through the followers, not with each event: an event to all of them brings one back from each.
+    fn look_for_slow(&mut self, now: Nanos) {
+        if now.since(self.looked) < LOOK {
+            return;
+        }
+        self.looked = now;
+        for (id, why) in self.followers.too_slow(now, &self.retention) {
+            self.refuse(now, id, &why);
+        }
+    }
+
     /// Nothing can be vouched for any more.
     fn lapse(&mut self, now: Nanos) {
         self.end_followers("the source brings no heartbeat");
