Replica ends with 0 at SIGTERM; replicas tested as processes before a dispatcher

Cause: `copperroute relay` started the log's thread before SIGTERM and SIGINT were kept from all threads. That thread took the signal, and the process died of it (by hand, release build: status 143, no last line). The log's thread now starts once the signals are kept, as in `serve`.

New tests with real processes: SIGTERM ends a replica with 0; change log, two replicas and a dispatcher in a chain, a drain told at the log shows in HEALTH, the first replica is killed and started again, and the next list shows too. Purges through the chain are not judged here.

--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -187,9 +187,11 @@
         }
         Command::Relay { config } => {
             let config = RelayConfig::read(&config).map_err(|fault| (UNUSABLE, fault))?;
-            let log = logs::start();
-            let served = copperroute_relay::event_loop::serve(&config);
-            log.finish();
+            let mut log = None;
+            let served = copperroute_relay::event_loop::serve(&config, || log = Some(logs::start()));
+            if let Some(log) = log {
+                log.finish();
+            }
             served.map_err(|fault| (FAILED, fault))?;
         }
         Command::Store { what } => look(what)?,
--- a/dispatcher/tests/dispatcher/main.rs
+++ b/dispatcher/tests/dispatcher/main.rs
@@ -16,6 +16,7 @@
 mod life;
 mod loopback;
 mod pulls;
+mod relay_process;
 mod request_cost;
 mod rig;
 mod rules_text;
--- /dev/null
+++ b/dispatcher/tests/dispatcher/relay_process.rs
@@ -0,0 +1,143 @@
+//! Replicas as processes between a stand-in of the change log and a dispatcher.
+
+use crate::common::{CONFIG, message};
+use crate::rig::{LONG, answer};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A program with its configuration file; killed when it is dropped.
+struct Program {
+    child: Child,
+    config: PathBuf,
+}
+
+impl Program {
+    fn start(command: &str, name: &str, config: &str) -> Program {
+        let path = std::env::temp_dir().join(format!("copperroute-{}-{name}.json", std::process::id()));
+        std::fs::write(&path, config).expect("a temporary file");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_copperroute"));
+        let child = program.arg(command).arg("--config").arg(&path).spawn().expect("it starts");
+        Program { child, config: path }
+    }
+
+    fn replica(name: &str, listen: &str, source: &str, kind: &str) -> Program {
+        let source = format!("{{\"address\":\"{source}\",\"kind\":\"{kind}\"}}");
+        let config = format!("{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"sources\":[{source}]}}");
+        Program::start("relay", name, &config)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// A change log: tells all its events behind what was asked for, and the last number each second.
+fn change_log() -> (String, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let events = Arc::new(Mutex::new(Vec::new()));
+    let told = events.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let told = told.clone();
+            thread::spawn(move || tell(stream, &told));
+        }
+    });
+    (address, events)
+}
+
+fn tell(mut stream: TcpStream, events: &Mutex<Vec<String>>) {
+    let mut ask = String::new();
+    BufReader::new(stream.try_clone().expect("a handle")).read_line(&mut ask).expect("a line");
+    let mut at: usize = ask.trim().trim_start_matches("since ").parse().expect("a number");
+    let mut beat = Instant::now();
+    loop {
+        let events = events.lock().expect("nobody panicked").clone();
+        let mut text: String = events.iter().skip(at).map(|event| format!("{event}\n")).collect();
+        at = at.max(events.len());
+        if beat <= Instant::now() {
+            text += &format!("{}\n", events.len());
+            beat += Duration::from_secs(1);
+        }
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// An address of its own: a port that was free a moment ago may be another test's by now.
+fn own(test: u8, last: u8) -> String {
+    format!("127.{}.25{test}.{last}:5050", 1 + std::process::id() % 250)
+}
+
+/// Asks the dispatcher until it says this.
+fn until_health(address: &str, wanted: &str) {
+    let begun = Instant::now();
+    let mut said = String::new();
+    while begun.elapsed() < LONG {
+        if let Ok(mut client) = TcpStream::connect(address) {
+            client.write_all(&message("HEALTH", 1)).expect("it reads");
+            said = answer(&client);
+            if said.contains(wanted) {
+                return;
+            }
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    panic!("{said} and not {wanted}");
+}
+
+fn list(seq: u64, state: &str) -> String {
+    let node = |id: &str, kind: &str| {
+        format!(
+            "{{\"id\":\"{id}\",\"addr\":\"127.0.0.1:9\",\"zone\":\"east\",\"kind\":\"{kind}\",\"cell\":0,\
+             \"state\":\"{state}\",\"weight\":20,\"started_ms\":0}}"
+        )
+    };
+    let nodes = [("s-a", "box"), ("s-b", "box"), ("p-1", "parent"), ("p-2", "parent"), ("o-1", "origin")]
+        .map(|(id, kind)| node(id, kind));
+    let nodes = nodes.join(",");
+    format!("{{\"seq\":{seq},\"fleet\":{{\"version\":{seq},\"full\":true,\"servers\":[{nodes}]}}}}")
+}
+
+#[test]
+fn a_drain_reaches_a_dispatcher_through_two_replicas_also_when_one_was_killed() {
+    let (log, events) = change_log();
+    events.lock().expect("nobody panicked").push(list(1, "active"));
+    let (first, second, listen) = (own(0, 1), own(0, 2), own(0, 3));
+    let replica = Program::replica("first", &first, &log, "change-log");
+    let _second = Program::replica("second", &second, &first, "replica");
+    let config = CONFIG.replace("127.0.0.1:5050", &listen).replace("127.0.0.1:2379", &second);
+    let _dispatcher = Program::start("serve", "dispatcher", &config);
+    until_health(&listen, "UP");
+    events.lock().expect("nobody panicked").push(list(2, "leaving"));
+    until_health(&listen, "DOWN");
+    drop(replica);
+    events.lock().expect("nobody panicked").push(list(3, "active"));
+    let _again = Program::replica("first-again", &first, &log, "change-log");
+    until_health(&listen, "UP");
+}
+
+#[test]
+fn a_replica_ends_with_0_at_sigterm() {
+    let listen = own(1, 1);
+    let mut replica = Program::replica("ends", &listen, "127.0.0.1:9", "change-log");
+    let begun = Instant::now();
+    while TcpStream::connect(&listen).is_err() {
+        assert!(begun.elapsed() < LONG, "it does not listen");
+        thread::sleep(Duration::from_millis(10));
+    }
+    let kill = format!("kill -TERM {}", replica.child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    assert_eq!(replica.child.wait().expect("it ends").code(), Some(0));
+}
--- a/relay/src/event_loop.rs
+++ b/relay/src/event_loop.rs
@@ -63,14 +63,15 @@
     }
 }
 
-/// Follows and serves until SIGTERM or SIGINT.
-pub fn serve(config: &Config) -> Result<(), String> {
-    run(config, &Stop::default(), true)
+/// Follows and serves until SIGTERM or SIGINT. Once these are kept from all threads `signals_kept` is called: a thread
+/// that was started before would take them, and they would end the program.
+pub fn serve(config: &Config, signals_kept: impl FnOnce()) -> Result<(), String> {
+    run(config, &Stop::default(), Some(signals_kept))
 }
 
 /// The same in a thread of a process that does something else, until it is told to stop.
 pub fn serve_until(config: &Config, stop: &Stop) -> Result<(), String> {
-    run(config, stop, false)
+    run(config, stop, None::<fn()>)
 }
 
 struct Carrier {
@@ -95,14 +96,15 @@
     Ok(socket.into())
 }
 
-fn run(config: &Config, stop: &Stop, takes_signals: bool) -> Result<(), String> {
+fn run(config: &Config, stop: &Stop, signals_kept: Option<impl FnOnce()>) -> Result<(), String> {
     let said = |what: &'static str| move |fault: calloop::Error| format!("{what}: {fault}");
     let mut event_loop: EventLoop<Inbox> = EventLoop::try_new().map_err(said("event loop"))?;
     let handle = event_loop.handle();
     let listener = listen(config.listen).map_err(|fault| format!("{}: {fault}", config.listen))?;
     let listener = Rc::new(listener);
-    if takes_signals {
+    if let Some(signals_kept) = signals_kept {
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(said("signals"))?;
+        signals_kept();
         handle
             .insert_source(signals, |_, _, inbox| inbox.terminate = true)
             .map_err(|fault| said("signals")(fault.error))?;
