--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -3,7 +3,8 @@
 use clap::{Args, Parser, Subcommand};
 use copperroute::change_log;
 use copperroute_dispatcher::config::{Agreeing, Config, Sources};
-use copperroute_dispatcher::{event_loop, rules_text};
+use copperroute_dispatcher::{event_loop, logs, rules_text};
+use copperroute_relay::config::Config as RelayConfig;
 use copperroute_settings::operator::Operator;
 use copperroute_store::disk::inspect;
 use copperroute_store::record::Head;
@@ -44,8 +45,18 @@
         #[command(subcommand)]
         what: RulesCommand,
     },
+    /// Follows the change log, or another replica, and serves it to dispatchers and replicas until SIGTERM.
+    Relay {
+        /// The replica's configuration file (`copperroute schema --relay` tells its form).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
     /// Prints the schema of the operator's file.
-    Schema,
+    Schema {
+        /// Of a replica's configuration file instead.
+        #[arg(long)]
+        relay: bool,
+    },
     /// Prints the version.
     Version,
 }
@@ -188,7 +199,19 @@
     match command {
         Command::Version => println!("copperroute {}", env!("CARGO_PKG_VERSION")),
         // Who reads no further than a part of it is not told.
-        Command::Schema => drop(writeln!(std::io::stdout(), "{:#}", Operator::schema())),
+        Command::Schema { relay } => {
+            let schema = if relay { RelayConfig::schema() } else { Operator::schema() };
+            drop(writeln!(std::io::stdout(), "{schema:#}"));
+        }
+        Command::Relay { config } => {
+            let config = RelayConfig::read(&config).map_err(|fault| (UNUSABLE, fault))?;
+            let mut log = None;
+            let served = copperroute_relay::event_loop::serve(&config, || log = Some(logs::start()));
+            if let Some(log) = log {
+                log.finish();
+            }
+            served.map_err(|fault| (FAILED, fault))?;
+        }
         Command::Store { what } => look(what)?,
         Command::Rules { what } => rules(what)?,
         Command::Check(files) => {
