--- a/relay/tests/relay/sockets.rs
+++ b/relay/tests/relay/sockets.rs
@@ -203,8 +203,12 @@
 
     /// Reads until the stream ends; returns what came, and when.
     fn until_the_end(&mut self) -> (Vec<String>, Instant) {
-        let lines = std::iter::from_fn(|| self.line()).collect();
-        (lines, Instant::now())
+        let begun = Instant::now();
+        let next = || {
+            assert!(begun.elapsed() < PATIENCE, "the stream does not end");
+            self.line()
+        };
+        (std::iter::from_fn(next).collect(), Instant::now())
     }
 }
 
