--- a/lab/src/fleet_simulation/follower.rs
+++ b/lab/src/fleet_simulation/follower.rs
@@ -2,14 +2,14 @@
 //! for versions. With two streams the first copy of an event counts; that merge is the simulation's own.
 
 use super::assumptions::*;
-use copperroute::calls::{CallSettings, Calls};
+use copperroute::calls::CallSettings;
 use copperroute::interface::Nanos;
 use copperroute_agreement::core::Agreement;
 use copperroute_agreement::faults::Faults;
 use copperroute_agreement::issue::{Ground, Issue};
 use copperroute_agreement::rules::RuleSet;
 use copperroute_agreement::terms::Terms;
-use copperroute_dispatcher::changes::{ChangeLog, Told};
+use copperroute_dispatcher::changes::{ChangeLog, ChangeLogSettings, Told};
 use copperroute_dispatcher::effects::Effect;
 use copperroute_protocol::changes::Change;
 use serde_json::{Map, Value, json};
@@ -70,7 +70,15 @@
         let unix_zero = UNIX_MS * 1_000_000;
         let stream = |(at, source): (usize, &usize)| {
             let seed = start.seed.wrapping_add(at as u64 * 0x9E37_79B9);
-            ChangeLog::new(address_of(*source), start.known, Calls::new(start.calls, seed, unix_zero))
+            ChangeLog::new(ChangeLogSettings {
+                addresses: vec![address_of(*source)],
+                applied: start.known,
+                calls: start.calls,
+                seed,
+                unix_zero,
+                slack: TERMS.slack,
+                looks_for_anew: false,
+            })
         };
         Follower {
             streams: start.sources.iter().enumerate().map(stream).collect(),
@@ -114,7 +122,7 @@
         if self.streams.len() == 1 {
             self.agreement.iter_mut().for_each(|agreement| agreement.asked(now));
         }
-        self.streams[stream].connected(connection, effects);
+        self.streams[stream].connected(connection, now, effects);
     }
 
     pub fn closed(&mut self, stream: usize, connection: u32, now: Nanos, effects: &mut Vec<Effect>) {
@@ -123,7 +131,7 @@
 
     /// The next call of this stream goes to another source.
     pub fn turn_to(&mut self, stream: usize, source: usize, now: Nanos, effects: &mut Vec<Effect>) {
-        self.streams[stream].move_to(address_of(source), now, effects);
+        self.streams[stream].follow(&[address_of(source)], now, effects);
     }
 
     /// Gives a silent stream up.
@@ -157,7 +165,7 @@
                     self.take(now, &change);
                     news.push(News::Event(change.seq));
                 }
-                Told::Change { .. } => {}
+                Told::Change { .. } | Told::Restriction { .. } => {}
                 Told::Line { caught_up } => {
                     let current = caught_up && self.applied(stream) == self.newest;
                     self.agreement.iter_mut().for_each(|agreement| agreement.line(now, current));
