Capacity runs with replicas of the change log

Change: a scenario's `replicas` starts so many processes of copperroute relay, each in a zone of its own; each dispatcher, hollow or real, has a way of its own to each, counted and cut as before, and the operator's file names these. Faults `replica` (one after the other is killed and started) and `streams_reset`; expectations on followers and calls of a replica.

--- a/lab/src/capacity/access.rs
+++ b/lab/src/capacity/access.rs
@@ -1,5 +1,6 @@
-//! How one dispatcher reaches what it follows: an address of its own that passes bytes on to the change log or to a
-//! replica, counts them, and can be cut. So each dispatcher's share is seen from outside, whatever kind it is of.
+//! How one dispatcher reaches what it follows: an address of its own for each source, the change log or a replica, that
+//! passes bytes on and counts them; all of them can be cut, or reset. So each dispatcher's share is seen from outside,
+//! whatever kind it is of.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +20,7 @@
     calls: AtomicU64,
     bytes: AtomicU64,
     messages: AtomicU64,
+    streams: AtomicU64,
 }
 
 /// Its figures at a moment.
@@ -30,23 +32,55 @@
     pub bytes: u64,
     /// Lines to the dispatcher.
     pub messages: u64,
+    /// Streams that are up.
+    pub streams: u64,
 }
 
-/// One dispatcher's way.
+/// One that is up, as long as this lives.
+struct Up<'a>(&'a AtomicU64);
+
+impl<'a> Up<'a> {
+    fn new(streams: &'a AtomicU64) -> Up<'a> {
+        streams.fetch_add(1, Ordering::Relaxed);
+        Up(streams)
+    }
+}
+
+impl Drop for Up<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl std::iter::Sum for Counted {
+    fn sum<I: Iterator<Item = Counted>>(all: I) -> Counted {
+        all.fold(Counted::default(), |sum, next| Counted {
+            calls: sum.calls + next.calls,
+            bytes: sum.bytes + next.bytes,
+            messages: sum.messages + next.messages,
+            streams: sum.streams + next.streams,
+        })
+    }
+}
+
+/// One dispatcher's ways, to each source that it may follow.
 #[derive(Debug, Clone)]
 pub struct Access {
-    counter: Arc<Counter>,
+    counters: Arc<Vec<Counter>>,
     cut: watch::Sender<bool>,
+    /// Raised when all its streams are reset.
+    life: watch::Sender<u64>,
 }
 
 impl Access {
-    /// A way that nobody has used.
-    pub fn new() -> Access {
-        Access { counter: Arc::default(), cut: watch::channel(false).0 }
+    /// Ways to so many sources that nobody has used.
+    pub fn new(sources: usize) -> Access {
+        let counters = (0..sources).map(|_| Counter::default()).collect();
+        Access { counters: Arc::new(counters), cut: watch::channel(false).0, life: watch::channel(0).0 }
     }
 
-    /// Listens at one address, for connections to another.
-    pub fn open(&self, listen: SocketAddr, to: SocketAddr) -> std::io::Result<()> {
+    /// Listens at one address, for connections to a source at another.
+    pub fn open(&self, source: usize, listen: SocketAddr, to: SocketAddr) -> std::io::Result<()> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(listen)?;
@@ -55,8 +89,8 @@
         tokio::spawn(async move {
             loop {
                 let Ok((near, _)) = listener.accept().await else { continue };
-                access.counter.calls.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(access.clone().pass(near, to));
+                access.counters[source].calls.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(access.clone().follow(source, near, to));
             }
         });
         Ok(())
@@ -67,25 +101,47 @@
         self.cut.send_replace(cut);
     }
 
-    /// What has passed up to now.
-    pub fn counted(&self) -> Counted {
+    /// Resets all its streams.
+    pub fn reset(&self) {
+        self.life.send_modify(|life| *life += 1);
+    }
+
+    /// What has passed from each source up to now.
+    pub fn counted(&self) -> Vec<Counted> {
         let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        let Counter { calls, bytes, messages } = &*self.counter;
-        Counted { calls: read(calls), bytes: read(bytes), messages: read(messages) }
+        let counted = |Counter { calls, bytes, messages, streams }: &Counter| Counted {
+            calls: read(calls),
+            bytes: read(bytes),
+            messages: read(messages),
+            streams: read(streams),
+        };
+        self.counters.iter().map(counted).collect()
+    }
+
+    async fn follow(self, source: usize, near: TcpStream, to: SocketAddr) {
+        let _ = near.set_zero_linger();
+        let mut life = self.life.subscribe();
+        life.borrow_and_update();
+        tokio::select! {
+            () = self.pass(source, near, to) => {}
+            _ = life.changed() => {}
+        }
     }
 
-    async fn pass(self, near: TcpStream, to: SocketAddr) {
+    async fn pass(&self, source: usize, near: TcpStream, to: SocketAddr) {
         let _ = near.set_nodelay(true);
         let mut cut = self.cut.subscribe();
         // While it is cut nobody is reached, though the connection seems to be up.
         if cut.wait_for(|cut| !*cut).await.is_err() {
             return;
         }
-        let Ok(far) = TcpStream::connect(to).await else { return drop(near.set_zero_linger()) };
+        let Ok(far) = TcpStream::connect(to).await else { return };
+        let counter = &self.counters[source];
+        let _up = Up::new(&counter.streams);
         let _ = far.set_nodelay(true);
         let ((near_read, near_write), (far_read, far_write)) = (near.into_split(), far.into_split());
         let there = pump(near_read, far_write, self.cut.subscribe(), None);
-        let back = pump(far_read, near_write, self.cut.subscribe(), Some(&self.counter));
+        let back = pump(far_read, near_write, self.cut.subscribe(), Some(counter));
         // Either way's end is the connection's.
         tokio::select! {
             () = there => {}
--- a/lab/src/capacity/faults.rs
+++ b/lab/src/capacity/faults.rs
@@ -1,5 +1,6 @@
 //! What fails: faults at told times, and restarts and failures that are drawn from the seed.
 
+use super::access::Access;
 use super::clock::unix_us;
 use super::groups::Group;
 use super::hollow::Order;
@@ -75,6 +76,11 @@
                 self.rig.ledger.disturbed(Cause::LogReset, unix_us());
                 self.rig.log.reset();
             }
+            What::StreamsReset => {
+                self.rig.ledger.disturbed(Cause::StreamsReset, unix_us());
+                self.rig.access.iter().for_each(Access::reset);
+            }
+            What::Replica => self.replicas(fault).await,
             What::LogAway => {
                 self.up.send_replace(false);
                 self.rig.log.set_up(false);
@@ -94,6 +100,26 @@
         }
     }
 
+    /// Kills one replica after the other, as long as each is back before the end.
+    async fn replicas(&self, fault: &Fault) {
+        let (mut at_s, count) = (fault.at_s, self.rig.replicas.count());
+        for replica in (0..count).cycle() {
+            if at_s + fault.for_s > self.rig.scenario.length_s {
+                return;
+            }
+            self.at(at_s).await;
+            for dispatcher in self.rig.followers(replica) {
+                self.rig.ledger.touched(dispatcher, Cause::Replica, unix_us());
+            }
+            self.rig.replicas.kill(replica).await;
+            self.at(at_s + fault.for_s).await;
+            if let Err(fault) = self.rig.replicas.start(replica) {
+                let _ = self.failed.send(fault);
+            }
+            at_s += fault.each_s;
+        }
+    }
+
     fn members(&self, fault: &Fault) -> Vec<usize> {
         Group::read(&fault.who).map_or_else(Vec::new, |group| group.members(&self.rig.scenario.fleet))
     }
--- a/lab/src/capacity/layout.rs
+++ b/lab/src/capacity/layout.rs
@@ -1,6 +1,6 @@
 //! Addresses and files of a run, and what each dispatcher's configuration says: hollow and real ones read the same.
 
-use super::groups::zone_of;
+use super::groups::{region_of, zone_of};
 use super::scenario::Scenario;
 use crate::processes::own_address;
 use serde_json::{Value, json};
@@ -41,9 +41,14 @@
         SocketAddr::from(([127, self.net, 3, 1], 2379))
     }
 
-    /// Where a dispatcher reaches the change log.
-    pub fn access(&self, dispatcher: usize) -> SocketAddr {
-        SocketAddr::new(own_address(self.net, dispatcher), 2379)
+    /// Where a replica of it takes followers.
+    pub fn replica_listen(&self, replica: usize) -> SocketAddr {
+        SocketAddr::from(([127, self.net, 3, replica as u8 + 2], 2379))
+    }
+
+    /// Where a dispatcher reaches a source: the change log, or a replica by its number.
+    pub fn access(&self, dispatcher: usize, source: usize) -> SocketAddr {
+        SocketAddr::new(own_address(self.net, dispatcher), 2379 + source as u16)
     }
 
     /// Where a real dispatcher takes clients.
@@ -60,6 +65,10 @@
         self.folder.join(format!("operator-{dispatcher}.json"))
     }
 
+    pub fn replica_file(&self, replica: usize) -> PathBuf {
+        self.folder.join(format!("replica-{replica}.json"))
+    }
+
     pub fn log_file(&self, name: &str) -> PathBuf {
         self.folder.join(format!("{name}.log"))
     }
@@ -97,7 +106,7 @@
             "name": format!("n{dispatcher}"), "listen": self.listen(dispatcher).to_string(),
             "seed": format!("{:x}", scenario.seed * 1_000_003 + dispatcher as u64),
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
-            "changelog": self.access(dispatcher).to_string(),
+            "changelog": self.access(dispatcher, 0).to_string(),
             "flow_bytes_per_s": 310_000, "link_bytes_per_s": 1_240_000,
             "known": known,
             "settings": {
@@ -119,6 +128,28 @@
         })
     }
 
+    /// The configuration of a replica: it follows the change log.
+    pub fn replica(&self, scenario: &Scenario, replica: usize) -> Value {
+        let mut file = scenario.relay.clone();
+        file.insert("name".into(), json!(format!("r{replica}")));
+        file.insert("listen".into(), json!(self.replica_listen(replica).to_string()));
+        file.insert("sources".into(), json!([{"address": self.log().to_string(), "kind": "change-log"}]));
+        Value::Object(file)
+    }
+
+    /// The operator's file of a dispatcher: as the scenario has it, and with its own way to each replica.
+    pub fn operator(&self, scenario: &Scenario, dispatcher: usize) -> Value {
+        let mut file = Value::Object(scenario.operator.clone());
+        let replica = |number: usize| {
+            json!({"address": self.access(dispatcher, number).to_string(), "zone": zone_name(number),
+                "region": format!("r{}", region_of(number, &scenario.fleet))})
+        };
+        if scenario.replicas > 0 {
+            file["lists"]["replicas"] = (0..scenario.replicas).map(replica).collect();
+        }
+        file
+    }
+
     /// Writes the configuration of a dispatcher that is about to start.
     pub fn write_config(&self, scenario: &Scenario, dispatcher: usize, known: Value) -> Result<(), String> {
         write(&self.config_file(dispatcher), &self.config(scenario, dispatcher, known))
--- a/lab/src/capacity/ledger.rs
+++ b/lab/src/capacity/ledger.rs
@@ -28,6 +28,8 @@
     Backlog,
     LogAway,
     LogReset,
+    StreamsReset,
+    Replica,
 }
 
 /// What happened to a dispatcher: for this span, in Unix microseconds, it could not be reached; an empty span only tells
@@ -137,12 +139,15 @@
         }
     }
 
-    /// Something happened to what dispatchers follow, at one moment: all can be reached as before.
+    /// Something happened to what all dispatchers follow, at one moment: all can be reached as before.
     pub fn disturbed(&self, cause: Cause, at_us: u64) {
-        for dispatcher in 0..self.0.len() {
-            let disturbance = Disturbance { cause, from_us: at_us, to_us: at_us };
-            self.track(dispatcher).disturbances.push(disturbance);
-        }
+        (0..self.0.len()).for_each(|dispatcher| self.touched(dispatcher, cause, at_us));
+    }
+
+    /// The same of what one follows.
+    pub fn touched(&self, dispatcher: usize, cause: Cause, at_us: u64) {
+        let disturbance = Disturbance { cause, from_us: at_us, to_us: at_us };
+        self.track(dispatcher).disturbances.push(disturbance);
     }
 
     /// When a dispatcher last started, if it did after a moment.
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -17,6 +17,7 @@
 mod log;
 mod outcome;
 mod real;
+mod replicas;
 mod report;
 mod rig;
 pub mod scenario;
@@ -78,9 +79,13 @@
     let mut failed: Vec<String> = std::iter::from_fn(|| failures.try_recv().ok()).collect();
     let exited = rig.ledger.tracks().iter().filter(|track| track.exited_us.is_some()).count();
     let ended = rig.real.end().await + rig.hosts.end().await + exited;
+    let replicas_ended = rig.replicas.end().await;
     if ended > 0 {
         failed.push(format!("{ended} dispatchers or hosts ended by themselves"));
     }
+    if replicas_ended > 0 {
+        failed.push(format!("{replicas_ended} replicas ended by themselves"));
+    }
     let requests = [&rig.asked.served, &rig.asked.unserved].map(|count| count.load(Ordering::Relaxed));
     Seen {
         first_current_s: first_current.as_secs_f64(),
--- a/lab/src/capacity/outcome.rs
+++ b/lab/src/capacity/outcome.rs
@@ -47,6 +47,11 @@
     pub real_share: Share,
     /// Requests that real dispatchers served, and others.
     pub requests: [u64; 2],
+    /// Replicas of the change log, what one takes, and the most that one bears: followers as a part of all, calls.
+    pub replicas: usize,
+    pub replica_share: Share,
+    pub replica_followers: f64,
+    pub replica_calls_most: u64,
     pub calls_most: u64,
     pub bytes_most: u64,
     pub memory_most_gb: f64,
@@ -132,6 +137,7 @@
         let (purges, lasts) = figures::class(kind(|kind| matches!(kind, Kind::Purge { .. })), &hollow);
         let (lists, _) = figures::class(kind(|kind| *kind == Kind::List), &hollow);
         let (versions, _) = figures::class(kind(|kind| matches!(kind, Kind::Version { .. })), &all);
+        let most = |of: fn(&Second) -> u64| seen.seconds.iter().map(of).max().unwrap_or(0);
         let since = |at_us: u64| at_us.saturating_sub(seen.begun_us) as f64 / 1e6;
         let mut outcome = Outcome {
             seed: scenario.seed,
@@ -147,8 +153,12 @@
             real_idle_share: seen.after.real_share(&seen.before, real - idle..real),
             real_share: seen.after.real_share(&seen.before, 0..real - idle),
             requests: seen.requests,
-            calls_most: seen.seconds.iter().map(|second| second.calls).max().unwrap_or(0),
-            bytes_most: seen.seconds.iter().map(|second| second.bytes_most).max().unwrap_or(0),
+            replicas: scenario.replicas,
+            replica_share: seen.after.replica_share(&seen.before),
+            replica_followers: most(|second| second.replica_followers) as f64 / seen.tracks.len() as f64,
+            replica_calls_most: most(|second| second.replica_calls),
+            calls_most: most(|second| second.calls),
+            bytes_most: most(|second| second.bytes_most),
             memory_most_gb: seen.seconds.iter().map(|second| second.memory_gb).fold(0.0, f64::max),
             purge_lasts: lasts.into_iter().map(|(at_us, last_s)| (since(at_us), last_s)).collect(),
             seconds: seen.seconds,
@@ -182,6 +192,8 @@
         within("cores", expect.cores, self.hollow_share.cores.max(self.real_idle_share.cores));
         within("memory_mb", expect.memory_mb, self.hollow_share.memory_mb.max(self.real_share.memory_mb));
         within("calls_per_s", expect.calls_per_s, self.calls_most as f64);
+        within("replica_followers", expect.replica_followers, self.replica_followers);
+        within("replica_calls_per_s", expect.replica_calls_per_s, self.replica_calls_most as f64);
         within("all_memory_gb", expect.all_memory_gb, self.memory_most_gb);
         if real.dispatchers > 0 {
             let differs = |hollow: f64, real: f64| (hollow / real.max(1e-9) - 1.0).abs();
--- a/lab/src/capacity/report.rs
+++ b/lab/src/capacity/report.rs
@@ -70,6 +70,14 @@
         ("bytes to one dispatcher, most in a second".into(), outcome.bytes_most.to_string()),
         ("memory of all processes, most, GB".into(), format!("{:.2}", outcome.memory_most_gb)),
     ]);
+    if outcome.replicas > 0 {
+        rows.extend([
+            ("replicas".into(), outcome.replicas.to_string()),
+            ("followers of a replica, most, part of all".into(), format!("{:.3}", outcome.replica_followers)),
+            ("calls to a replica, most in a second".into(), outcome.replica_calls_most.to_string()),
+            ("a replica that was never killed takes".into(), share(outcome.replica_share)),
+        ]);
+    }
     rows
 }
 
@@ -123,6 +131,7 @@
             vec![
                 curve("hollow", each(|second| second.hollow_cores)),
                 curve("real", each(|second| second.real_cores)),
+                curve("replicas", each(|second| second.replica_cores)),
             ],
         ),
         ("Memory of all processes, GB", vec![curve("memory", each(|second| second.memory_gb))]),
--- a/lab/src/capacity/rig.rs
+++ b/lab/src/capacity/rig.rs
@@ -11,11 +11,13 @@
 use super::ledger::{Cause, Ledger};
 use super::log::{ChangeLog, Issued};
 use super::real::Real;
+use super::replicas::Replicas;
 use super::scenario::{Scenario, What};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -38,6 +40,7 @@
     pub access: Vec<Access>,
     pub hosts: Hosts,
     pub real: Real,
+    pub replicas: Replicas,
     pub asked: Arc<Asked>,
     /// Purges that observers look for.
     pub probes: broadcast::Sender<Issued>,
@@ -52,6 +55,14 @@
     groups.flat_map(|group| group.members(&scenario.fleet)).collect()
 }
 
+/// Where each source that dispatchers may follow listens.
+fn sources(scenario: &Scenario, layout: &Layout) -> Vec<SocketAddr> {
+    match scenario.replicas {
+        0 => vec![layout.log()],
+        replicas => (0..replicas).map(|replica| layout.replica_listen(replica)).collect(),
+    }
+}
+
 /// How far each dispatcher's clock is ahead, drawn from the seed; of real ones it is the machine's.
 fn clock_errors_ms(scenario: &Scenario) -> Vec<i64> {
     let mut chance = StdRng::seed_from_u64(scenario.seed.rotate_left(24));
@@ -74,18 +85,21 @@
         let behind = behind(scenario);
         let mut access = Vec::new();
         for at in 0..scenario.dispatchers() {
-            let way = Access::new();
-            way.set_cut(behind.contains(&at));
-            let listen = layout.access(at);
-            way.open(listen, layout.log()).map_err(|fault| format!("{listen}: {fault}"))?;
-            access.push(way);
+            let ways = Access::new(scenario.replicas.max(1));
+            ways.set_cut(behind.contains(&at));
+            for (source, to) in sources(scenario, &layout).into_iter().enumerate() {
+                let listen = layout.access(at, source);
+                ways.open(source, listen, to).map_err(|fault| format!("{listen}: {fault}"))?;
+            }
+            access.push(ways);
             let known = if behind.contains(&at) { log.known_first() } else { log.known() };
             layout.write_config(scenario, at, known)?;
-            layout::write(&layout.operator_file(at), &Value::Object(scenario.operator.clone()))?;
+            layout::write(&layout.operator_file(at), &layout.operator(scenario, at))?;
             let _ = std::fs::remove_file(layout.log_file(&format!("n{at}")));
         }
         let ledger = Arc::new(Ledger::new(scenario.dispatchers()));
         let hosts = Hosts::start(scenario, &layout, &clock_errors_ms(scenario), &ledger)?;
+        let replicas = Replicas::new(scenario, program.to_path_buf(), &layout)?;
         let real = Real::new(scenario, program.to_path_buf(), &layout, &ledger);
         Ok(Rig {
             scenario: scenario.clone(),
@@ -95,6 +109,7 @@
             access,
             hosts,
             real,
+            replicas,
             asked: Arc::new(Asked::default()),
             probes: broadcast::channel(PROBES_WAITING).0,
             claimed: Mutex::default(),
@@ -105,6 +120,7 @@
     /// Returns how long that took from the last start on.
     pub async fn start(self: &Arc<Self>) -> Result<Duration, String> {
         let (count, fleet) = (self.scenario.dispatchers(), &self.scenario.fleet);
+        self.replicas.start_all().await?;
         let begun = Instant::now();
         let mut starting = tokio::task::JoinSet::new();
         for at in 0..count {
@@ -124,7 +140,7 @@
         let real: Vec<_> = (0..fleet.real).filter(|at| !behind.contains(at)).collect();
         self.claimed.lock().unwrap_or_else(PoisonError::into_inner).extend(&behind);
         let (first, since) = (self.log.purge(format!("{:016x}", 1)), Instant::now());
-        let heard = |at: &usize| self.access[*at].counted().messages > 0;
+        let heard = |at: &usize| self.counted_of(*at).messages > 0;
         while !(self.ledger.all_applied(&hollow, first.seq) && real.iter().all(heard)) {
             if since.elapsed() > FIRST_CURRENT {
                 return Err(format!("not all dispatchers follow after {} s", FIRST_CURRENT.as_secs()));
@@ -188,8 +204,26 @@
         self.layout.write_config(&self.scenario, dispatcher, known)
     }
 
+    /// What has passed to one dispatcher.
+    fn counted_of(&self, dispatcher: usize) -> Counted {
+        self.access[dispatcher].counted().into_iter().sum()
+    }
+
     /// What has passed to each dispatcher.
     pub fn counted(&self) -> Vec<Counted> {
-        self.access.iter().map(Access::counted).collect()
+        (0..self.access.len()).map(|at| self.counted_of(at)).collect()
+    }
+
+    /// What has passed from each source.
+    pub fn counted_by_source(&self) -> Vec<Counted> {
+        let all: Vec<_> = self.access.iter().map(Access::counted).collect();
+        let of = |source: usize| all.iter().map(|counted| counted[source]).sum();
+        (0..self.scenario.replicas.max(1)).map(of).collect()
+    }
+
+    /// Who follows a replica now.
+    pub fn followers(&self, replica: usize) -> Vec<usize> {
+        let follows = |at: &usize| self.access[*at].counted()[replica].streams > 0;
+        (0..self.access.len()).filter(follows).collect()
     }
 }
--- a/lab/src/capacity/scenario.rs
+++ b/lab/src/capacity/scenario.rs
@@ -9,6 +9,8 @@
 const MOST_PROCESSES: usize = 300;
 /// Dispatchers that addresses are laid out for.
 const MOST_DISPATCHERS: usize = 2_000;
+/// Replicas of the change log.
+const MOST_REPLICAS: usize = 6;
 /// A run ends after this long at the most.
 const LONGEST_S: f64 = 600.0;
 
@@ -32,6 +34,13 @@
     /// The operator's file that every dispatcher gets.
     #[serde(default)]
     pub operator: serde_json::Map<String, serde_json::Value>,
+    /// Replicas of the change log, each a process in a zone of its own, of which each dispatcher follows two; 0: all
+    /// follow the log itself.
+    #[serde(default)]
+    pub replicas: usize,
+    /// What a replica's file says besides its name and place.
+    #[serde(default)]
+    pub relay: serde_json::Map<String, serde_json::Value>,
     /// Restarts and failures of dispatchers that are drawn from the seed.
     #[serde(default)]
     pub drawn: Drawn,
@@ -131,6 +140,10 @@
     LogAway,
     /// All streams of the change log are reset at one moment.
     LogReset,
+    /// All streams of dispatchers are reset at one moment, whatever they follow.
+    StreamsReset,
+    /// One replica after the other, `each_s` apart, is killed, and starts anew after `for_s`.
+    Replica,
 }
 
 /// One fault.
@@ -142,9 +155,12 @@
     /// For how long.
     #[serde(default)]
     pub for_s: f64,
+    /// How far apart replicas are killed, from `at_s` on.
+    #[serde(default)]
+    pub each_s: f64,
     /// What.
     pub what: What,
-    /// Whom: `zone:N`, `region:N`, `rack:N` (of zone N), `one:N`, `all`; absent for the log.
+    /// Whom: `zone:N`, `region:N`, `rack:N` (of zone N), `one:N`, `all`; absent for the log and its replicas.
     #[serde(default)]
     pub who: String,
 }
@@ -173,6 +189,10 @@
     pub memory_mb: Option<f64>,
     /// New connections in any second.
     pub calls_per_s: Option<f64>,
+    /// Dispatchers that follow one replica, at most, as a part of all.
+    pub replica_followers: Option<f64>,
+    /// New connections to one replica in any second.
+    pub replica_calls_per_s: Option<f64>,
     /// Hollow and real dispatchers differ by no more than this part in messages and bytes.
     pub hollow_differs: Option<f64>,
     /// They differ by no more than so many seconds in the median time that a purge takes: what observers can't resolve.
@@ -239,11 +259,27 @@
         if self.changes.version_each_s > 0.0 && !self.operator.contains_key("agreement") {
             return Err("changes.version_each_s: expected 0, as operator.agreement is absent".into());
         }
-        let processes = self.fleet.real + self.hosts() + 1;
+        self.check_replicas()?;
+        let processes = self.fleet.real + self.hosts() + self.replicas + 1;
         within("fleet: processes in all", processes as f64, 1.0, MOST_PROCESSES as f64)?;
         self.faults.iter().enumerate().try_for_each(|(at, fault)| self.check_fault(at, fault))
     }
 
+    fn check_replicas(&self) -> Result<(), String> {
+        let replicas = self.replicas;
+        if replicas == 0 {
+            return Ok(());
+        }
+        let most = MOST_REPLICAS.min(self.fleet.zones);
+        if !(2..=most).contains(&replicas) {
+            return Err(format!("replicas: {replicas}; expected 0, or 2 to {most}, each in another zone"));
+        }
+        match self.operator.get("lists").is_some_and(serde_json::Value::is_object) {
+            true => Ok(()),
+            false => Err(format!("replicas: {replicas}; expected 0, as operator.lists is absent")),
+        }
+    }
+
     fn check_fault(&self, at: usize, fault: &Fault) -> Result<(), String> {
         let ends_s = fault.at_s + fault.for_s;
         if !(fault.at_s >= 0.0 && fault.for_s >= 0.0 && ends_s <= self.length_s) {
@@ -257,7 +293,13 @@
             ));
         }
         match fault.what {
-            What::LogAway | What::LogReset => Ok(()),
+            What::LogAway | What::LogReset | What::StreamsReset => Ok(()),
+            What::Replica if self.replicas == 0 => Err(format!("faults.{at}.what: replica; there is none")),
+            What::Replica if fault.for_s < fault.each_s => Ok(()),
+            What::Replica => Err(format!(
+                "faults.{at}.each_s: {}; expected more than for_s, {}, as one is away at a time",
+                fault.each_s, fault.for_s
+            )),
             _ => match Group::read(&fault.who).map(|group| group.members(&self.fleet)) {
                 Some(members) if !members.is_empty() => Ok(()),
                 _ => Err(format!("faults.{at}.who: '{}' is nobody that this can happen to", fault.who)),
--- a/lab/src/capacity/usage.rs
+++ b/lab/src/capacity/usage.rs
@@ -16,6 +16,11 @@
     /// Processor time of hollow hosts and of real dispatchers, in cores.
     pub hollow_cores: f64,
     pub real_cores: f64,
+    /// The same of all replicas.
+    pub replica_cores: f64,
+    /// At the replica that has most of each: new connections, and dispatchers that follow it.
+    pub replica_calls: u64,
+    pub replica_followers: u64,
     /// Resident memory of all processes, in GB.
     pub memory_gb: f64,
 }
@@ -45,6 +50,9 @@
     hollow: Vec<Use>,
     /// By number of dispatcher.
     real: Vec<Option<Use>>,
+    replicas: Vec<Use>,
+    /// What has passed from each source.
+    by_source: Vec<Counted>,
     own_memory_mb: f64,
 }
 
@@ -57,13 +65,18 @@
     pub fn now(rig: &Rig) -> Moment {
         let hollow = rig.hosts.ids().into_iter().filter_map(|(id, count)| use_of(id, count)).collect();
         let real = (0..rig.scenario.fleet.real).map(|at| use_of(rig.real.id(at)?, 1)).collect();
+        let replicas = rig.replicas.ids().into_iter().filter_map(|id| use_of(id, 1)).collect();
+        let by_source = match rig.replicas.count() {
+            0 => Vec::new(),
+            _ => rig.counted_by_source(),
+        };
         let own_memory_mb = used(std::process::id()).map_or(0.0, |used| used.1);
-        Moment { at: Instant::now(), counted: rig.counted(), hollow, real, own_memory_mb }
+        Moment { at: Instant::now(), counted: rig.counted(), hollow, real, replicas, by_source, own_memory_mb }
     }
 
     /// Memory of all processes, this one's too.
     fn memory_gb(&self) -> f64 {
-        let all = self.hollow.iter().chain(self.real.iter().flatten());
+        let all = self.hollow.iter().chain(self.real.iter().flatten()).chain(&self.replicas);
         (all.map(|of| of.memory_mb).sum::<f64>() + self.own_memory_mb) / 1e3
     }
 
@@ -83,11 +96,17 @@
         share(&of(self), &of(before), self.secs_since(before))
     }
 
+    /// What one replica took, of those that ran all the time.
+    pub fn replica_share(&self, before: &Moment) -> Share {
+        share(&self.replicas, &before.replicas, self.secs_since(before))
+    }
+
     /// The second between two moments.
     fn second(&self, before: &Moment) -> Second {
         let passed: Vec<_> =
             self.counted.iter().zip(&before.counted).map(|(now, was)| now.bytes - was.bytes).collect();
         let calls = |moment: &Moment| moment.counted.iter().map(|counted| counted.calls).sum::<u64>();
+        let replica_calls = self.by_source.iter().zip(&before.by_source).map(|(now, was)| now.calls - was.calls);
         let cores = |share: Share| share.cores * share.dispatchers as f64;
         Second {
             calls: calls(self) - calls(before),
@@ -95,6 +114,9 @@
             bytes_most: passed.iter().copied().max().unwrap_or(0),
             hollow_cores: cores(self.hollow_share(before)),
             real_cores: cores(self.real_share(before, 0..self.real.len())),
+            replica_cores: cores(self.replica_share(before)),
+            replica_calls: replica_calls.max().unwrap_or(0),
+            replica_followers: self.by_source.iter().map(|counted| counted.streams).max().unwrap_or(0),
             memory_gb: self.memory_gb(),
         }
     }
