--- a/Makefile
+++ b/Makefile
@@ -37,9 +37,11 @@
 	for file in lab/scenarios/agree-*.json; do case $$file in *agree-half*) continue;; esac; \
 		target/release/copperroute-lab run $$file --out target/lab/$$(basename $$file .json) || exit 1; done
 
-# Plays the ordinary day of the whole fleet, compressed, some three minutes; ends with 1 if a bound is missed.
+# Plays the ordinary day of the whole fleet, compressed, before the change log alone and before six replicas of it, some three
+# minutes each; both are played, and it ends with 1 if either misses a bound.
 capacity: build
-	target/release/copperroute-lab capacity lab/scenarios/capacity-590.json --out target/lab/capacity
+	ended=0; for name in capacity-590 capacity-590-replicas; do \
+		target/release/copperroute-lab capacity lab/scenarios/$$name.json --out target/lab/$$name || ended=1; done; exit $$ended
 
 # Times the structures of the decisions beside plain ones.
 bench:
--- a/lab/src/capacity/access.rs
+++ b/lab/src/capacity/access.rs
@@ -177,3 +177,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/capacity_access.rs"]
+mod tests;
--- a/lab/src/capacity/usage.rs
+++ b/lab/src/capacity/usage.rs
@@ -71,7 +71,15 @@
             _ => rig.counted_by_source(),
         };
         let own_memory_mb = used(std::process::id()).map_or(0.0, |used| used.1);
-        Moment { at: Instant::now(), counted: rig.counted(), hollow, real, replicas, by_source, own_memory_mb }
+        Moment {
+            at: Instant::now(),
+            counted: rig.counted(),
+            hollow,
+            real,
+            replicas,
+            by_source,
+            own_memory_mb,
+        }
     }
 
     /// Memory of all processes, this one's too.
@@ -106,7 +114,8 @@
         let passed: Vec<_> =
             self.counted.iter().zip(&before.counted).map(|(now, was)| now.bytes - was.bytes).collect();
         let calls = |moment: &Moment| moment.counted.iter().map(|counted| counted.calls).sum::<u64>();
-        let replica_calls = self.by_source.iter().zip(&before.by_source).map(|(now, was)| now.calls - was.calls);
+        let replica_calls =
+            self.by_source.iter().zip(&before.by_source).map(|(now, was)| now.calls - was.calls);
         let cores = |share: Share| share.cores * share.dispatchers as f64;
         Second {
             calls: calls(self) - calls(before),
--- a/lab/src/tests/capacity_outcome.rs
+++ b/lab/src/tests/capacity_outcome.rs
@@ -26,6 +26,8 @@
         hollow_share: share,
         real_share: share,
         real_idle_share: share,
+        replica_followers: 2.0,
+        replica_calls_most: 2,
         calls_most: 2,
         bytes_most: 2,
         memory_most_gb: 2.0,
@@ -47,6 +49,8 @@
         cores: Some(bound),
         memory_mb: Some(bound),
         calls_per_s: Some(bound),
+        replica_followers: Some(bound),
+        replica_calls_per_s: Some(bound),
         all_memory_gb: Some(bound),
         hollow_differs: Some(0.1),
         hollow_differs_s: Some(0.1),
@@ -57,7 +61,7 @@
 fn bounds_that_are_just_kept_are_kept_and_each_is_missed_when_halved() {
     assert_eq!(outcome().missed(&expect(2.0)), [""; 0]);
     let missed = outcome().missed(&expect(1.0));
-    assert_eq!(missed.len(), 13, "{missed:?}");
+    assert_eq!(missed.len(), 15, "{missed:?}");
     assert_eq!(missed[0], "purge_p50_s: 2.000; expected at most 1");
 }
 
--- a/lab/src/tests/capacity_scenario.rs
+++ b/lab/src/tests/capacity_scenario.rs
@@ -1,10 +1,15 @@
 use super::*;
 
 const GOOD: &str = include_str!("../../scenarios/capacity-small.json");
+const REPLICAS: &str = include_str!("../../scenarios/capacity-small-replicas.json");
 
 #[test]
 fn scenarios_that_come_with_the_lab_can_be_used() {
-    for text in [GOOD, include_str!("../../scenarios/capacity-590.json")] {
+    let others = [
+        include_str!("../../scenarios/capacity-590.json"),
+        include_str!("../../scenarios/capacity-590-replicas.json"),
+    ];
+    for text in [GOOD, REPLICAS].into_iter().chain(others) {
         let read = Scenario::parse(text).expect("it can be used");
         assert!(read.hosts() + read.fleet.real < MOST_PROCESSES);
     }
@@ -29,6 +34,30 @@
     }
 }
 
+#[test]
+fn replicas_that_cannot_be_used_are_refused_with_their_place() {
+    let cases = [
+        (r#""replicas": 3"#, r#""replicas": 1"#, "replicas: 1; expected 0, or 2 to 4, each in another zone"),
+        (r#""replicas": 3"#, r#""replicas": 5"#, "replicas: 5; expected 0, or 2 to 4, each in another zone"),
+        (
+            r#""lists": {"calls_per_s""#,
+            r#""listing": {"calls_per_s""#,
+            "replicas: 3; expected 0, as operator.lists",
+        ),
+        (r#""replicas": 3"#, r#""replicas": 0"#, "faults.4.what: replica; there is none"),
+        (
+            r#""for_s": 3, "each_s": 7"#,
+            r#""for_s": 3, "each_s": 3"#,
+            "each_s: 3; expected more than for_s, 3",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        assert!(REPLICAS.contains(from), "{from}");
+        let fault = Scenario::parse(&REPLICAS.replacen(from, to, 1)).expect_err("it can't be used");
+        assert!(fault.contains(expected), "{fault}");
+    }
+}
+
 #[test]
 fn too_many_processes_are_refused() {
     let text = GOOD.replace(r#""hollow": 20, "hollow_each": 10"#, r#""hollow": 299, "hollow_each": 1"#);
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -10,12 +10,19 @@
     outcome: Value,
 }
 
+const SMALL: &str = include_str!("../scenarios/capacity-small.json");
+const SMALL_REPLICAS: &str = include_str!("../scenarios/capacity-small-replicas.json");
+
 /// Plays the small scenario, changed, on addresses of its own.
 fn played(name: &str, net: u8, change: impl FnOnce(&mut Value)) -> Played {
+    played_of(SMALL, name, net, change)
+}
+
+/// The same with any scenario.
+fn played_of(text: &str, name: &str, net: u8, change: impl FnOnce(&mut Value)) -> Played {
     let folder = std::env::temp_dir().join(format!("copperroute-capacity-{}-{net}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
-    let mut scenario: Value =
-        serde_json::from_str(include_str!("../scenarios/capacity-small.json")).expect("JSON");
+    let mut scenario: Value = serde_json::from_str(text).expect("JSON");
     change(&mut scenario);
     let file = folder.join(format!("{name}.json"));
     std::fs::write(&file, scenario.to_string()).expect("written");
@@ -55,6 +62,42 @@
     assert!(number(&outcome, "/harm/log_reset/times") >= 20.0, "{text}");
 }
 
+/// Each follows two of three replicas, so one replica has at least two thirds of them; kills and resets make calls.
+#[test]
+fn the_same_before_three_replicas_keep_bounds_with_a_tenfold_margin() {
+    let Played { code, text, outcome } = played_of(SMALL_REPLICAS, "small-replicas", 65, |_| {});
+    assert_eq!(code, Some(0), "{text}");
+    assert_eq!(outcome["missed"], json!([]), "{text}");
+    assert!(number(&outcome, "/purges/last/count") > 80.0, "{text}");
+    assert!(number(&outcome, "/versions/last/count") >= 3.0, "{text}");
+    assert!(number(&outcome, "/beside/real_purge/count") > 10.0, "{text}");
+    assert!(number(&outcome, "/harm/replica/times") >= 20.0, "{text}");
+    assert!(number(&outcome, "/harm/streams_reset/times") >= 20.0, "{text}");
+    assert!(number(&outcome, "/replica_followers") >= 0.66, "{text}");
+    assert!(number(&outcome, "/replica_calls_most") >= 1.0, "{text}");
+    let told = number(&outcome, "/beside/hollow/messages_per_s");
+    assert!(told > 4.0, "two streams tell more than one: {told}; {text}");
+}
+
+/// A replica that is killed, and a log that is away, make calls; two thirds of all follow some replica.
+#[test]
+fn bounds_on_replicas_that_cannot_be_met_are_missed_and_named() {
+    let Played { code, text, outcome } = played_of(SMALL_REPLICAS, "away", 64, |scenario| {
+        scenario["length_s"] = json!(12);
+        scenario["faults"] = json!([{"at_s": 3, "for_s": 5, "each_s": 50, "what": "replica"},
+            {"at_s": 3.5, "for_s": 5, "what": "log_away"}]);
+        scenario["drawn"] = json!({});
+        scenario["changes"]["version_each_s"] = json!(0);
+        scenario["expect"] =
+            json!({"purge_worst_s": 0.00001, "replica_followers": 0.5, "replica_calls_per_s": 0});
+    });
+    assert_eq!(code, Some(1), "{text}");
+    let missed = outcome["missed"].to_string();
+    for name in ["purge_worst_s", "replica_followers", "replica_calls_per_s"] {
+        assert!(missed.contains(name) && text.contains(name), "{name}: {text}");
+    }
+}
+
 /// Nobody is told a purge in no time, none runs in no memory, and hollow ones do not take no bytes.
 #[test]
 fn bounds_that_cannot_be_met_are_missed_and_named() {
