--- /dev/null
+++ b/checks/tests/checks/main.rs
@@ -0,0 +1,3 @@
+//! Searches of every ordering in the small.
+
+mod change_log;
--- a/relay/src/heartbeat.rs
+++ b/relay/src/heartbeat.rs
@@ -12,7 +12,7 @@
 pub const LAPSES_AFTER: Nanos = Nanos(2_000_000_000);
 
 /// The heartbeats of one stream.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Heartbeats {
     propagation_bound: Nanos,
     /// When one last came, or the source was asked.
--- a/src/change_log/digests.rs
+++ b/src/change_log/digests.rs
@@ -6,7 +6,7 @@
 const KEPT: usize = 1024;
 
 /// An event that was applied.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Applied {
     number: u64,
     digest: u64,
@@ -15,7 +15,7 @@
 }
 
 /// The last ones, in the order of their numbers.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub(super) struct Digests(VecDeque<Applied>);
 
 impl Digests {
--- a/src/change_log/heartbeat.rs
+++ b/src/change_log/heartbeat.rs
@@ -6,7 +6,7 @@
 const PERIOD: Nanos = Nanos(1_000_000_000);
 
 /// The heartbeats of one stream.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub(super) struct Heartbeats {
     /// When the last one came, or the stream was asked for.
     came: Nanos,
--- a/src/change_log/held.rs
+++ b/src/change_log/held.rs
@@ -12,7 +12,7 @@
 pub const LONGEST: Nanos = Nanos(1_000_000_000);
 
 /// Arrivals in the order in which they came.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct Held<E> {
     queue: VecDeque<Arrival<E>>,
     bytes: usize,
--- a/src/change_log/merge.rs
+++ b/src/change_log/merge.rs
@@ -26,7 +26,7 @@
 const VOUCHES_FOR: Nanos = Nanos(2_000_000_000);
 
 /// What an event brings.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Content<E> {
     /// A change.
     Delta(E),
@@ -37,7 +37,7 @@
 }
 
 /// An event as a stream told it.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Arrival<E> {
     /// Its number.
     pub number: u64,
@@ -104,7 +104,7 @@
 }
 
 /// One stream.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Source<E> {
     /// It was asked and has not ended.
     stands: bool,
@@ -144,7 +144,7 @@
 }
 
 /// The events of up to two streams as one sequence.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Merge<E> {
     /// The number of the last event that was applied.
     applied: u64,
