--- a/dispatcher/src/reducer/changes.rs
+++ b/dispatcher/src/reducer/changes.rs
@@ -3,6 +3,11 @@
 use super::*;
 
 impl Reducer {
+    /// The number of the version of the rules in force, where there is an agreement on them.
+    pub fn rules_in_force(&self) -> Option<u64> {
+        self.agreed.as_ref().map(Agreed::in_force)
+    }
+
     pub(super) fn change_log_connected(&mut self, now: Nanos, connection: u32) {
         self.agreed.iter_mut().for_each(|agreed| agreed.asked(now));
         self.log.connected(connection, now, &mut self.desk.effects);
@@ -143,7 +148,7 @@
             readiness,
             connections: Vec::new(),
             listed: self.desk.now,
-            opening: Opening::default(),
+            opening: NodeBackOff::default(),
         };
         NodeEntry {
             node: self.desk.list(&listed.id, pool),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,8 @@
 //! `copperroute-lab`: plays failures and crowds of clients against real dispatchers on loopback.
 
+mod capacity;
 mod clients;
+mod fleet_simulation;
 mod groups;
 mod least;
 mod links;
@@ -14,6 +16,7 @@
 mod results;
 mod scenario;
 mod service;
+mod slopes;
 mod world;
 
 use clap::{Args, Parser, Subcommand};
@@ -123,22 +126,66 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Measures how what one dispatcher costs grows with what it is given: tables with the laws that fit.
+    Slopes {
+        #[command(flatten)]
+        options: slopes::Options,
+        #[command(flatten)]
+        place: Place,
+    },
+    /// Plays the ordinary day of a whole fleet, compressed; ends with 1 if a bound was missed, each named.
+    Capacity {
+        scenario: PathBuf,
+        #[command(flatten)]
+        place: Place,
+    },
+    /// Simulates faults of the fleet, and for how long they break which bounds: tables.
+    Faults {
+        /// How many dispatchers.
+        #[arg(long, value_delimiter = ',', default_value = "590,1180,5900")]
+        dispatchers: Vec<u32>,
+        /// Each fault is played with so many seeds, from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Faults that last an hour are played with so many; as many as the others if absent.
+        #[arg(long)]
+        long_seeds: Option<u64>,
+        /// The ways of changes to compare, by letter: a, b, b', c, d; all if absent.
+        #[arg(long, default_value = "")]
+        ways: String,
+        /// Only the sums of an ordinary month.
+        #[arg(long)]
+        month: bool,
+        /// For how many seconds regions are cut; an hour at most.
+        #[arg(long, default_value_t = 3600.0)]
+        cut: f64,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "lab/scenarios")]
         folder: PathBuf,
     },
     /// Prints the schema of scenarios.
-    Schema,
+    Schema {
+        /// Of those that `capacity` plays.
+        #[arg(long)]
+        capacity: bool,
+    },
     /// Passes bytes on, for `pace`.
     #[command(hide = true)]
     Relay { listen: SocketAddr, to: SocketAddr },
+    /// Hosts hollow dispatchers, for `capacity`.
+    #[command(hide = true)]
+    Hollow { hosted: PathBuf },
 }
 
 /// The command line or a scenario is wrong; a rule was broken or an expectation missed.
 const UNUSABLE: u8 = 2;
 const FAILED: u8 = 1;
 
+/// Scenarios whose names begin so are for `capacity`, all others for `run`.
+const CAPACITY_NAME: &str = "capacity-";
+
 type Ended = Result<(), (u8, String)>;
 
 fn on_threads<T>(threads: usize, work: impl Future<Output = Result<T, String>>) -> Result<T, (u8, String)> {
@@ -196,6 +243,20 @@
     outcomes.iter().try_for_each(verdict)
 }
 
+/// Plays a day of a whole fleet, and names each bound that was missed.
+fn play_capacity(file: &Path, place: &Place) -> Ended {
+    let scenario = capacity::scenario::Scenario::read(file).map_err(|fault| (UNUSABLE, fault))?;
+    let (name, program) = (play::name_of(file), place.own_program()?);
+    let play = capacity::play(&name, &scenario, &program, &place.out, place.net);
+    let (lines, missed) = on_threads(4, play)?;
+    lines.iter().for_each(|line| println!("{line}"));
+    if !missed.is_empty() {
+        return Err((FAILED, format!("{name}: {}", missed.join("; "))));
+    }
+    println!("{name}: all bounds kept");
+    Ok(())
+}
+
 fn list(folder: &Path) -> Ended {
     let said = |fault: std::io::Error| (UNUSABLE, format!("{}: {fault}", folder.display()));
     let files = std::fs::read_dir(folder).map_err(said)?.flatten().map(|entry| entry.path());
@@ -203,8 +264,13 @@
         files.filter(|path| path.extension().is_some_and(|kind| kind == "json")).collect();
     files.sort();
     for file in files {
-        let scenario = Scenario::read(&file).map_err(|fault| (UNUSABLE, fault))?;
-        println!("{} ({:.0} s): {}", play::name_of(&file), scenario.length_s, scenario.about);
+        let name = play::name_of(&file);
+        let told = match name.starts_with(CAPACITY_NAME) {
+            true => capacity::scenario::Scenario::read(&file).map(|of| (of.length_s, of.about)),
+            false => Scenario::read(&file).map(|of| (of.length_s, of.about)),
+        };
+        let (length_s, about) = told.map_err(|fault| (UNUSABLE, fault))?;
+        println!("{name} ({length_s:.0} s): {about}");
     }
     Ok(())
 }
@@ -231,11 +297,26 @@
             print!("{}", many_rules::table(&dispatchers, &loss, away, seed));
             Ok(())
         }
+        Command::Slopes { options, place } => {
+            let program = place.own_program()?;
+            on_threads(4, slopes::run(&options, program, &place.out, place.net))
+        }
+        Command::Faults { dispatchers, seeds, long_seeds, ways, month, cut } => {
+            let (seeds, long_seeds) = (seeds.max(1), long_seeds.unwrap_or(seeds).max(1));
+            let options =
+                fleet_simulation::Options { dispatchers, seeds, long_seeds, ways, month, cut_s: cut };
+            print!("{}", fleet_simulation::table(&options));
+            Ok(())
+        }
         Command::List { folder } => list(&folder),
-        Command::Schema => {
-            println!("{:#}", Scenario::schema());
+        Command::Schema { capacity: of_capacity } => {
+            let schema =
+                if of_capacity { capacity::scenario::Scenario::schema() } else { Scenario::schema() };
+            println!("{schema:#}");
             Ok(())
         }
+        Command::Capacity { scenario, place } => play_capacity(&scenario, &place),
+        Command::Hollow { hosted } => capacity::hollow::host(&hosted).map_err(|fault| (UNUSABLE, fault)),
         Command::Relay { listen, to } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|fault| (UNUSABLE, fault.to_string()))?;
