Heartbeats that waited on their way do not begin numbers anew

Cause: three heartbeats with a lower number out of a queue, told at once as a held stream is released just after the other has ended, counted as three in a row, and all was asked for again. Found by the search of every ordering (checks). A lower number that is not in time counts for nothing now, and ends a row of those that came in time. Ruled out: counting on as before behind a late one, which began anew too soon in two cases drawn by the property test; both are kept.

--- a/src/change_log/merge.rs
+++ b/src/change_log/merge.rs
@@ -300,6 +300,11 @@
             of.ended();
             return Heartbeat::Reconnect(Reason::Missing { last, applied });
         }
+        if last < applied && !in_time {
+            // What waited on its way tells what was known then, and ends a row of those that came in time.
+            of.alone_behind = 0;
+            return Heartbeat::Unsure;
+        }
         if last < applied {
             return self.behind(now, source, last);
         }
