--- a/checks/tests/checks/change_log/parts.rs
+++ b/checks/tests/checks/change_log/parts.rs
@@ -98,10 +98,11 @@
 }
 
 impl Replica {
-    /// Current, with nothing heard yet.
+    /// Current, with one heartbeat heard.
     pub fn new() -> Self {
         let mut heartbeats = Heartbeats::new(PROPAGATION_BOUND);
         heartbeats.asked(clock(0));
+        assert!(heartbeats.is_fresh(clock(0)), "it comes with the call");
         heartbeats.vouch(clock(0));
         Replica { source: Link::up(), last: 0, is_current: true, heartbeats }
     }
