One judgement of whether heartbeats come in time, for merge, replica and lease

The same rule stood three times: a heartbeat after too long a silence, and what follows within the slack, may have waited on its way. src/change_log/heartbeat.rs serves the merge of two streams, the replica's vouching and the agreement's lease now, so that the known red (the first heartbeat after a call) can be mended in one place. Behaviour is the same, deliberate faults included.

--- a/agreement/src/lease.rs
+++ b/agreement/src/lease.rs
@@ -3,21 +3,17 @@
 
 use crate::faults::{Fault, Faults};
 use crate::terms::Terms;
+use copperroute::change_log::Heartbeats;
 use copperroute::interface::Nanos;
 
-/// Lines come a second apart.
-const LINE: Nanos = Nanos(1_000_000_000);
-
 /// A lease on being up to date.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Lease {
     length: Nanos,
     slack: Nanos,
     faults: Faults,
-    /// When a line last came, or was asked for.
-    came: Nanos,
-    /// Lines until then may come out of a queue: what they tell may be as old as the silence before them.
-    queued_until: Nanos,
+    /// The service's lines: those out of a queue tell what may be as old as the silence before them.
+    heartbeats: Heartbeats,
     /// Until when it holds; zero for never.
     until: Nanos,
 }
@@ -25,35 +21,37 @@
 impl Lease {
     /// None yet.
     pub fn new(terms: Terms, faults: Faults) -> Self {
-        let (came, queued_until, until) = Default::default();
-        Lease { length: terms.lease, slack: terms.slack, faults, came, queued_until, until }
+        let (heartbeats, until) = Default::default();
+        Lease { length: terms.lease, slack: terms.slack, faults, heartbeats, until }
     }
 
     /// The service is asked anew: what it answers is as it stands then or later.
     pub fn asked(&mut self, now: Nanos) {
-        (self.came, self.queued_until) = (now, Nanos::ZERO);
+        self.heartbeats.asked(now);
     }
 
     /// A whole line has come; `caught_up` tells that all that it knows of has been heard. After a silence that is too
     /// long for a line a second, what follows at once may have waited on its way for as long.
     pub fn line(&mut self, now: Nanos, caught_up: bool) {
-        if now.since(self.came) > LINE.after(self.slack) && !self.faults.is(Fault::TrustQueue) {
-            self.queued_until = now.after(self.slack);
+        if self.faults.is(Fault::TrustQueue) {
+            self.heartbeats.asked(now);
         }
-        self.came = now;
-        if (caught_up || self.faults.is(Fault::RenewBehind)) && now >= self.queued_until {
+        let in_time = self.heartbeats.comes(now, self.slack);
+        if (caught_up || self.faults.is(Fault::RenewBehind)) && in_time {
             self.until = now.after(self.length);
         }
     }
 
     /// Whether lines come as they should: nothing that comes now has waited on its way for longer than `latest`.
     pub fn is_live(&self, now: Nanos) -> bool {
-        self.until > now && now >= self.queued_until && now.since(self.came) <= LINE.after(self.slack)
+        self.until > now
+            && !self.heartbeats.may_have_waited(now)
+            && self.heartbeats.are_prompt(now, self.slack)
     }
 
     /// The longest that something may have waited on its way while lines come as they should.
     pub fn latest(&self) -> Nanos {
-        LINE.after(self.slack).after(self.slack)
+        Heartbeats::longest_silence(self.slack).after(self.slack)
     }
 
     /// What was lost may have held anything: it holds no more.
--- a/relay/src/heartbeat.rs
+++ b/relay/src/heartbeat.rs
@@ -4,21 +4,17 @@
 //! is too long for a line a second may have waited on its way for as long, and so may all that come right behind it:
 //! these are not passed on, so that a follower's lease never begins later than it would at the change log itself.
 
+use copperroute::change_log::Heartbeats as Arrivals;
 use copperroute::interface::Nanos;
 
-/// Heartbeats come a second apart.
-const INTERVAL: Nanos = Nanos(1_000_000_000);
 /// After so long without a heartbeat that can be vouched for, a replica is current no more.
 pub const LAPSES_AFTER: Nanos = Nanos(2_000_000_000);
 
-/// The heartbeats of one stream.
+/// The heartbeats of one stream, and when one could last be vouched for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Heartbeats {
     propagation_bound: Nanos,
-    /// When one last came, or the source was asked.
-    came: Nanos,
-    /// Until then they may come out of a queue.
-    queued_until: Nanos,
+    arrivals: Arrivals,
     /// When the last came that was vouched for.
     vouched: Option<Nanos>,
 }
@@ -26,21 +22,17 @@
 impl Heartbeats {
     /// None yet; on its way from the source a line takes no longer than `propagation_bound`.
     pub fn new(propagation_bound: Nanos) -> Self {
-        Heartbeats { propagation_bound, came: Nanos::ZERO, queued_until: Nanos::ZERO, vouched: None }
+        Heartbeats { propagation_bound, arrivals: Arrivals::default(), vouched: None }
     }
 
     /// The source is asked anew: what it answers is as it stands then or later.
     pub fn asked(&mut self, now: Nanos) {
-        (self.came, self.queued_until) = (now, Nanos::ZERO);
+        self.arrivals.asked(now);
     }
 
     /// One has come; tells whether it is sure to have left within the propagation bound.
     pub fn is_fresh(&mut self, now: Nanos) -> bool {
-        if now.since(self.came) > INTERVAL.after(self.propagation_bound) {
-            self.queued_until = now.after(self.propagation_bound);
-        }
-        self.came = now;
-        now >= self.queued_until
+        self.arrivals.comes(now, self.propagation_bound)
     }
 
     /// It told the number of the last event that was handed on: it is vouched for.
--- a/src/change_log/heartbeat.rs
+++ b/src/change_log/heartbeat.rs
@@ -5,9 +5,10 @@
 /// A heartbeat comes each second.
 const PERIOD: Nanos = Nanos(1_000_000_000);
 
-/// The heartbeats of one stream.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
-pub(super) struct Heartbeats {
+/// The heartbeats of one stream: of a dispatcher's to a replica, of a replica's to its source, of those by which a lease
+/// is renewed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub struct Heartbeats {
     /// When the last one came, or the stream was asked for.
     came: Nanos,
     /// What comes before this may have waited on its way.
@@ -16,17 +17,32 @@
 
 impl Heartbeats {
     /// The stream is asked for: nothing of it has waited yet.
-    pub(super) fn asked(&mut self, now: Nanos) {
+    pub fn asked(&mut self, now: Nanos) {
         (self.came, self.queued_until) = (now, Nanos::ZERO);
     }
 
-    /// A heartbeat comes; tells whether it has come in time. After a silence that is too long for one a second, what
-    /// follows within `slack` may have waited for as long.
-    pub(super) fn comes(&mut self, now: Nanos, slack: Nanos) -> bool {
-        if now.since(self.came) > PERIOD.after(slack) {
+    /// A heartbeat comes; tells whether it is sure to have left within `slack`. After a silence that is too long for one
+    /// a second, what follows within `slack` may have waited for as long.
+    pub fn comes(&mut self, now: Nanos, slack: Nanos) -> bool {
+        if !self.are_prompt(now, slack) {
             self.queued_until = now.after(slack);
         }
         self.came = now;
-        now >= self.queued_until
+        !self.may_have_waited(now)
+    }
+
+    /// Whether the last one came no longer ago than one a second allows.
+    pub fn are_prompt(&self, now: Nanos, slack: Nanos) -> bool {
+        now.since(self.came) <= Self::longest_silence(slack)
+    }
+
+    /// Whether what comes now may have waited on its way for as long as the silence before.
+    pub fn may_have_waited(&self, now: Nanos) -> bool {
+        now < self.queued_until
+    }
+
+    /// The longest silence between two heartbeats that both came in time.
+    pub fn longest_silence(slack: Nanos) -> Nanos {
+        PERIOD.after(slack)
     }
 }
--- a/src/change_log/mod.rs
+++ b/src/change_log/mod.rs
@@ -7,5 +7,6 @@
 pub mod merge;
 pub mod selection;
 
+pub use heartbeat::Heartbeats;
 pub use merge::{Arrival, Content, Heartbeat, Merge, Reason, Step};
 pub use selection::{Replica, followed, most_followers};
