Tests: the platform's heartbeat hides an event that has not come; red, listed

A trial that printed the lines shows why: the platform writes its heartbeat as {"seq":1}, and the decoder reads that as an event that says nothing. Where it names an event that has not come, that number counts as applied, and the event itself is dropped when it is told. No heartbeat ever vouched for anything there: is_caught_up, told_all, and the search for missing events never acted. Our stand-ins write the number without an object, so no test saw it.

--- a/crates/dispatcher/tests/dispatcher/main.rs
+++ b/crates/dispatcher/tests/dispatcher/main.rs
@@ -23,6 +23,7 @@
 mod gone;
 mod gone_sockets;
 mod growth;
+mod heartbeat_forms;
 mod last_list;
 mod last_list_clocks;
 mod life;
