Change log: what is not heard has consequences; the platform's heartbeats are recognised

Root cause: nothing told a dispatcher that what it knew was old. Own copies were served and nodes sent work by the last list, however long nothing had been heard; a drained node's refusal was taken for a full one's, and its source set aside for 3 to 5 s only.

Change, by change_log/knowledge.rs and policy/unheard.rs: once events that were not heard may count as told (4 s after a stop, 2 s after a break, at once when asked again, at once on a stream as late as the grace), own copies are not served, nodes are asked for copies made since all was known, and nodes and sources get work only under leases that their own answers renew (node_lease.rs): work taken, or alive answered with yes. Probes are bounded by the number of dispatchers; where that leaves too few, and where none are allowed, a node that refused since the list was known is left out, at most half of its like. Attempts that wait are not sent after the lease. Doubt's begin and end, and what was done for it, are lines with fields (reducer/doubt.rs).

Tests: traces in which 5 s or more pass with no line of the log, though it was not meant to be away, now have its heartbeats (Play::beats, Rig::beats); twenty queued heartbeats in place of one stand for a stop of 20 s, as they would come.

--- a/crates/change-log-replica/src/lines.rs
+++ b/crates/change-log-replica/src/lines.rs
@@ -1,6 +1,6 @@
 //! The change log's lines as bytes: each is read for its number and what a replica needs of it, and kept as it came.
 
-use copperroute_protocol::changes::Change;
+use copperroute_protocol::changes::{Change, heartbeat};
 use copperroute_protocol::incoming::{Incoming, Unreadable};
 use copperroute_routing::interface::stable_hash;
 use serde::Deserialize;
@@ -70,7 +70,7 @@
             self.0.settle();
             return Ok(None);
         };
-        if let Ok(last) = line.trim().parse() {
+        if let Some(last) = heartbeat(&line) {
             return Ok(Some(Line::Heartbeat(last)));
         }
         let (seq, kind) = match serde_json::from_str::<Change>(&line) {
--- a/crates/config-rollout/benches/switch.rs
+++ b/crates/config-rollout/benches/switch.rs
@@ -58,6 +58,7 @@
         link_kb_per_s: 0.0,
         purge_done: Nanos(6 * S),
         purge_notice: Nanos(S),
+        drain_grace: Nanos(S),
         cache_cold: cold,
         parent_cold: cold,
         fall_for: Nanos(3 * S),
@@ -69,6 +70,7 @@
         max_attempts: 6,
         sizes_told: true,
         probes: false,
+        may_probe: false,
         storms: None,
     }
 }
--- a/crates/config-rollout/tests/agreement/common.rs
+++ b/crates/config-rollout/tests/agreement/common.rs
@@ -45,6 +45,7 @@
         link_kb_per_s: 0.0,
         purge_done: ms(6_000),
         purge_notice: ms(7_000),
+        drain_grace: ms(1_000),
         cache_cold: cold,
         parent_cold: cold,
         fall_for: ms(3_000),
@@ -56,6 +57,7 @@
         max_attempts: 6,
         sizes_told: true,
         probes: false,
+        may_probe: false,
         storms: None,
     }
 }
--- a/crates/dispatcher/src/nodes/attempts.rs
+++ b/crates/dispatcher/src/nodes/attempts.rs
@@ -66,7 +66,7 @@
                 self.close(number, effects);
             }
         }
-        let pool = self.pools.get_mut(node.0)?;
+        let pool = self.pools.get(node.0)?;
         let address = pool.address?;
         let usable = |number: &&u32| self.connections.get(number).is_some_and(|c| !c.retired);
         let fits = |number: &&u32| {
@@ -82,20 +82,30 @@
         let number = match best.filter(|number| !room || load(&number) == 0) {
             Some(number) => number,
             None if !room => return None,
-            None => {
-                self.last += 1;
-                pool.connections.push(self.last);
-                self.connections.insert(self.last, Connection::new(node, now));
-                let overdue = now.after(self.limits.connect_timeout);
-                effects.push(Effect::Connect(Peer::Node(self.last), address));
-                effects.push(Effect::Arm(overdue, Due::Connect(self.last)));
-                self.last
-            }
+            None => self.open_connection(node, address, now, effects),
         };
         self.connections.get_mut(&number)?.waiting.push_back(attempt);
         Some(number)
     }
 
+    /// Makes a connection to a node.
+    pub(super) fn open_connection(
+        &mut self,
+        node: NodeId,
+        address: SocketAddr,
+        now: Nanos,
+        effects: &mut Vec<Effect>,
+    ) -> u32 {
+        self.last += 1;
+        if let Some(pool) = self.pools.get_mut(node.0) {
+            pool.connections.push(self.last);
+        }
+        self.connections.insert(self.last, Connection::new(node, now));
+        effects.push(Effect::Connect(Peer::Node(self.last), address));
+        effects.push(Effect::Arm(now.after(self.limits.connect_timeout), Due::Connect(self.last)));
+        self.last
+    }
+
     /// Hands waiting attempts to a connection that has nothing unsent, as many as go at once. What an attempt says
     /// is asked for only then; one that is nobody's any more has nothing to say.
     pub fn hand_over<'a>(
--- a/crates/dispatcher/src/nodes/connections.rs
+++ b/crates/dispatcher/src/nodes/connections.rs
@@ -49,12 +49,19 @@
     /// be read, the connection is to be closed.
     pub fn answer(&mut self, number: u32, now: Nanos) -> Next {
         let Some(connection) = self.connections.get_mut(&number) else { return Next::Nothing };
-        match connection.decoder.next_answer() {
+        match connection.decoder.next_message() {
             Ok(None) => {
                 connection.decoder.settle();
                 Next::Nothing
             }
-            Ok(Some(answer)) => {
+            Ok(Some(Message::Alive { tag, takes_work })) => {
+                let node = connection.node;
+                match tag.and_then(|tag| self.probes.answered(tag, node, takes_work)) {
+                    Some(asked) => Next::Alive(node, asked, takes_work),
+                    None => Next::Nobodys,
+                }
+            }
+            Ok(Some(Message::Answer(answer))) => {
                 connection.answered = now;
                 // A second answer may follow: before a later attempt of the same request has left whole, it can't be that
                 // one's. The id stays until its request expires, see `may_carry`.
@@ -65,7 +72,7 @@
                     written.attempt.take()
                 });
                 connection.live -= usize::from(attempt.is_some());
-                Next::Answer(attempt, answer)
+                attempt.map_or(Next::Nobodys, |attempt| Next::Answer(attempt, answer))
             }
             Err(fault) => {
                 self.complaints.warn(now, format_args!("node {}: {fault}", self.ids.key(connection.node.0)));
--- a/crates/dispatcher/src/nodes/mod.rs
+++ b/crates/dispatcher/src/nodes/mod.rs
@@ -4,7 +4,7 @@
 use crate::effects::{Due, Effect, Peer};
 use crate::logs::Sparse;
 use copperroute_protocol::hex::Hex;
-use copperroute_protocol::nodes::{Decoder, Fetch, encode_abort, encode_fetch};
+use copperroute_protocol::nodes::{Decoder, Fetch, Message, encode_abort, encode_alive, encode_fetch};
 use copperroute_routing::fleet::connection_back_off::{ConnectionBackOff, NodeBackOff};
 use copperroute_routing::interface::{Nanos, NodeId, Outcome, Readiness};
 use copperroute_routing::state::Slots;
@@ -32,8 +32,11 @@
 mod connection;
 mod connections;
 mod list;
+mod probes;
 
 use connection::{Connection, Written};
+pub use probes::ProbeCounts;
+use probes::Probes;
 
 /// A node's start, as the change log told it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,6 +86,7 @@
     openings: ConnectionBackOff,
     /// Nodes that turned connections away, and until when none is opened there; not handed on yet.
     full: Vec<(NodeId, Nanos)>,
+    probes: Probes,
 }
 
 impl Nodes {
@@ -101,6 +105,7 @@
             complaints: Sparse::default(),
             openings: ConnectionBackOff::new(seed),
             full: Vec::new(),
+            probes: Probes::default(),
         }
     }
 
@@ -121,7 +126,11 @@
     /// No whole answer yet.
     Nothing,
     /// An answer, and the attempt that it ends.
-    Answer(Option<AttemptId>, copperroute_protocol::nodes::Answer),
+    Answer(AttemptId, copperroute_protocol::nodes::Answer),
+    /// A message that nobody waits for.
+    Nobodys,
+    /// A node says whether it takes work, as it was asked at this time.
+    Alive(NodeId, Nanos, bool),
     /// What can't be read.
     Unreadable,
 }
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -142,7 +142,7 @@
         if let Some(own) = self.own_copy(now, &routing_request, request_id) {
             return self.serve(now, &routing_request, own);
         }
-        if let Some(key) = self.asks_disk(&routing_request) {
+        if let Some(key) = self.asks_disk(now, &routing_request) {
             let generation = self.request_table.generation_of(request_id);
             self.reading.insert(request_id.0, Reading { generation, routing_request, key });
             self.request_table.effects.push(Effect::ReadCopy(key, ticket(request_id, generation)));
@@ -166,8 +166,8 @@
     }
 
     /// The key of a copy that the disk is to be asked for.
-    pub(super) fn asks_disk(&self, routing_request: &RoutingRequest) -> Option<Key> {
-        let copies = self.copies.as_ref()?;
+    pub(super) fn asks_disk(&self, now: Nanos, routing_request: &RoutingRequest) -> Option<Key> {
+        let copies = self.copies.as_ref().filter(|_| !self.module.purges_are_doubtful(now))?;
         let content_type = self.settings.content_types.get(routing_request.content_type.0 as usize)?;
         // How old they are after a restart no wall clock can tell by itself.
         if content_type.fresh_for.is_some() && !self.outside.is_answered() {
@@ -185,6 +185,9 @@
         let (Some(Reading { routing_request, key, .. }), Some(copies)) = (asked, &mut self.copies) else {
             return;
         };
+        if self.module.purges_are_doubtful(now) {
+            return self.go_on(now, request_id);
+        }
         let target = self.settings.content_types[routing_request.content_type.0 as usize].target_time;
         let held = self.request_table.asked_for(request_id).and_then(|asked| asked.2);
         if let Some((facts, _)) = copy {
@@ -225,6 +228,11 @@
         request_id: RequestId,
     ) -> Option<Own> {
         let copies = self.copies.as_mut()?;
+        // A purge that was not heard may be of any copy.
+        if self.module.purges_are_doubtful(now) {
+            self.doubt.own_copies_withheld += 1;
+            return None;
+        }
         let (object, part, held) = self.request_table.asked_for(request_id)?;
         let key = copies::key(routing_request.content_type.0, object, part)?;
         let target = self.settings.content_types[routing_request.content_type.0 as usize].target_time;
--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -11,7 +11,7 @@
 use crate::last_list::LastList;
 use crate::lingering::LINGERS_AT_END;
 use crate::logs::Sparse;
-use crate::nodes::{Pool, Start};
+use crate::nodes::{Pool, ProbeCounts, Start};
 use crate::outside_time::OutsideTime;
 use crate::phases::{Life, Phase};
 use crate::request_table::RequestTable;
@@ -20,7 +20,7 @@
 use copperroute_protocol::changes::{Change, Fleet, Listed, Purge};
 use copperroute_protocol::clients::{Answer, Message, Request};
 use copperroute_protocol::hex::Hex;
-use copperroute_routing::change_log::Heartbeats;
+use copperroute_routing::change_log::{Heartbeats, Knowledge};
 use copperroute_routing::fleet::connection_back_off::NodeBackOff;
 use copperroute_routing::fleet::duplicate_filter::{DuplicateFilter, MOST_IDS, Verdict};
 use copperroute_routing::interface::{
@@ -34,9 +34,12 @@
 mod changes;
 mod clients;
 mod deadlines;
+mod doubt;
 mod moments;
 mod reload;
 
+use doubt::DoubtReport;
+
 /// After the signal to end nothing new comes any more once this is over.
 const LAST_REQUESTS: Nanos = Nanos(750_000_000);
 /// After the signal to end all must be answered so long after the longest expiry, or after `LONGEST_DRAIN` where
@@ -88,6 +91,9 @@
     reading: HashMap<u32, Reading>,
     /// The last event of the change log whose purge the disk has marked.
     marked: u64,
+    /// What the module was last told of the change log.
+    known: Option<Knowledge>,
+    doubt: DoubtReport,
     /// What is kept of the change log over a restart, where it is.
     last_list: Option<LastList>,
     /// What is held of the agreement on rules, where there is one.
@@ -133,6 +139,8 @@
             last_list,
             reading: HashMap::new(),
             marked: 0,
+            known: None,
+            doubt: DoubtReport::default(),
             life: Life::default(),
             module: Dispatcher::new(config.settings.clone()),
             request_table,
@@ -257,6 +265,8 @@
             | Event::Written(Peer::ChangeLog(_), _) => {}
         }
         self.hand_on_ends(now);
+        self.hand_on_knowledge(now);
+        self.report_doubt(now);
         let over = self.drained || (self.last_requests && self.request_table.is_clear());
         if self.life.phase() == Phase::Draining && over {
             self.life.move_to(Phase::Closing);
@@ -269,11 +279,22 @@
         std::mem::take(&mut self.request_table.effects)
     }
 
+    /// The module hears what is known of the change log, as that changes.
+    fn hand_on_knowledge(&mut self, now: Nanos) {
+        let knowledge = *self.log.knowledge();
+        if self.known.replace(knowledge) != Some(knowledge) {
+            self.module.change_log_known(now, knowledge, &mut self.request_table);
+        }
+    }
+
     /// Attempts that have ended reach the module one by one, with what it does of it.
     fn hand_on_ends(&mut self, now: Nanos) {
         if let Some(made_ms) = self.request_table.latest_made_ms.take() {
             self.outside.copy_heard(now, made_ms);
         }
+        for (node, asked, takes_work) in std::mem::take(&mut self.request_table.alive) {
+            self.module.probe_answered(node, asked, takes_work);
+        }
         for (node, until) in self.request_table.turned_away() {
             self.module.node_turns_away(node, until);
         }
--- a/crates/dispatcher/src/request_table/actions.rs
+++ b/crates/dispatcher/src/request_table/actions.rs
@@ -48,6 +48,10 @@
 
     fn probe(&mut self, _node: NodeId) {}
 
+    fn ask_alive(&mut self, node: NodeId) {
+        self.nodes.ask_alive(node, self.now, &mut self.effects);
+    }
+
     fn follow(&mut self) {
         // The change log is followed from the start.
     }
--- a/crates/dispatcher/src/request_table/attempts.rs
+++ b/crates/dispatcher/src/request_table/attempts.rs
@@ -120,11 +120,12 @@
         loop {
             match self.nodes.answer(connection, self.now) {
                 Next::Nothing => return self.nodes.close_if_spent(connection, &mut self.effects),
-                Next::Answer(None, _) => {}
-                Next::Answer(Some(attempt), answer) if self.is_sound(attempt, &answer) => {
+                Next::Nobodys => {}
+                Next::Alive(node, asked, takes_work) => self.alive.push((node, asked, takes_work)),
+                Next::Answer(attempt, answer) if self.is_sound(attempt, &answer) => {
                     self.end(attempt, answer.outcome, Some(&answer));
                 }
-                Next::Answer(Some(attempt), _) => {
+                Next::Answer(attempt, _) => {
                     self.end(attempt, Outcome::Broken, None);
                     return self.node_closed(connection);
                 }
--- a/crates/dispatcher/src/request_table/list.rs
+++ b/crates/dispatcher/src/request_table/list.rs
@@ -3,6 +3,11 @@
 use super::*;
 
 impl RequestTable {
+    /// How many probes were made since the start.
+    pub fn probe_counts(&self) -> ProbeCounts {
+        self.nodes.probe_counts()
+    }
+
     /// The index of a listed node, new or known.
     pub fn list(&mut self, id: &str, pool: Pool) -> NodeId {
         let (node, moved) = self.nodes.list(id, pool, self.now, &mut self.effects);
--- a/crates/dispatcher/src/request_table/mod.rs
+++ b/crates/dispatcher/src/request_table/mod.rs
@@ -6,7 +6,7 @@
 use crate::config::Limits;
 use crate::copies::{self, Offered};
 use crate::effects::{Due, Effect};
-use crate::nodes::{AttemptId, Next, Nodes, Pool, Start};
+use crate::nodes::{AttemptId, Next, Nodes, Pool, ProbeCounts, Start};
 use copperroute_cache_store::record::Facts;
 use copperroute_protocol::clients::{Answer, Request};
 use copperroute_protocol::hex::Hex;
@@ -109,6 +109,8 @@
     pub latest_made_ms: Option<u64>,
     /// Ends of attempts that the module is to hear of.
     pub ended: VecDeque<(AttemptId, AttemptEnd)>,
+    /// Probes that were answered: by which node, when it was asked, and whether it takes work.
+    pub alive: Vec<(NodeId, Nanos, bool)>,
     /// What the event loop is asked for.
     pub effects: Vec<Effect>,
 }
@@ -134,6 +136,7 @@
             offered: Vec::new(),
             latest_made_ms: None,
             ended: VecDeque::new(),
+            alive: Vec::new(),
             effects: Vec::new(),
         }
     }
--- a/crates/dispatcher/tests/dispatcher/clocks_process.rs
+++ b/crates/dispatcher/tests/dispatcher/clocks_process.rs
@@ -5,6 +5,7 @@
 use copperroute_fault_injection::FaultPlan;
 use std::io::Write;
 use std::process::Stdio;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const HOUR_MS: i64 = 3_600_000;
@@ -31,11 +32,13 @@
 /// A purge is told to a program under this plan: it is heeded at once, by its age at the most, and no longer than it has to be.
 fn heeds_a_purge_for_its_time(plan: &FaultPlan) {
     let mut rig = Rig::failing(plan, Stdio::null());
+    let last = rig.beats(1);
     limit(&rig, 1);
     std::thread::sleep(STEPPED_AFTER);
     let purged = Instant::now();
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis();
     rig.tell(&format!("{{\"seq\":2,\"invalidate\":{{\"object\":\"7f3a000000000000\",\"time\":{unix}}}}}\n"));
+    last.store(2, Ordering::Relaxed);
     let first = (2..80).find_map(|number| {
         std::thread::sleep(Duration::from_millis(20));
         limit(&rig, number)
--- a/crates/dispatcher/tests/dispatcher/rig.rs
+++ b/crates/dispatcher/tests/dispatcher/rig.rs
@@ -7,7 +7,8 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -122,6 +123,18 @@
         self.asked.recv_timeout(LONG).expect("a node is asked")
     }
 
+    /// The change log is well from now on: it tells this number, and then what this returns holds, each second.
+    pub(crate) fn beats(&self, last: u64) -> Arc<AtomicU64> {
+        let last = Arc::new(AtomicU64::new(last));
+        let (told, mut log) = (last.clone(), self.log.try_clone().expect("a second handle"));
+        thread::spawn(move || {
+            while log.write_all(format!("{}\n", told.load(Ordering::Relaxed)).as_bytes()).is_ok() {
+                thread::sleep(Duration::from_secs(1));
+            }
+        });
+        last
+    }
+
     /// The change log tells something.
     pub(crate) fn tell(&mut self, line: &str) {
         self.log.write_all(line.as_bytes()).expect("the program reads");
--- a/crates/protocol/src/changes.rs
+++ b/crates/protocol/src/changes.rs
@@ -122,6 +122,25 @@
     seq: u64,
 }
 
+/// A heartbeat in the form of an event: an object with the last number alone.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NumberAlone {
+    seq: u64,
+}
+
+/// No heartbeat is longer: an object, its one name and twenty digits, with room to spare.
+const LONGEST_HEARTBEAT: usize = 64;
+
+/// The number that a line names, if it is a heartbeat: the number alone, or an object that holds nothing else.
+pub fn heartbeat(line: &str) -> Option<u64> {
+    if line.len() > LONGEST_HEARTBEAT {
+        return None;
+    }
+    let in_object = || serde_json::from_str(line).ok().map(|NumberAlone { seq }| seq);
+    line.trim().parse().ok().or_else(in_object)
+}
+
 /// The line that asks for all that follows the event with this number.
 pub fn encode_since(last: u64) -> Vec<u8> {
     format!("since {last}\n").into_bytes()
@@ -140,7 +159,7 @@
     /// The next whole line; an error means that no more can be read here.
     pub fn next_line(&mut self) -> Result<Option<Line>, Unreadable> {
         let Some(line) = self.0.line(LONGEST_LINE)? else { return Ok(None) };
-        if let Ok(last) = line.trim().parse() {
+        if let Some(last) = heartbeat(&line) {
             return Ok(Some(Line::Last(last)));
         }
         let fault = match serde_json::from_str(&line) {
--- a/crates/protocol/src/nodes.rs
+++ b/crates/protocol/src/nodes.rs
@@ -55,6 +55,20 @@
     pub body: Vec<u8>,
 }
 
+/// What a node says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// An attempt has ended.
+    Answer(Answer),
+    /// A probe is answered.
+    Alive {
+        /// The probe's tag; nothing if it has not the form of one.
+        tag: Option<Hex>,
+        /// The node takes work.
+        takes_work: bool,
+    },
+}
+
 /// Whole milliseconds of a span, which never round down to 0, as that stands for none.
 fn millis(span: Nanos) -> u64 {
     (span.0 / 1_000_000).max(1)
@@ -96,12 +110,17 @@
     bytes.extend_from_slice(format!("abort {id}\r\n").as_bytes());
 }
 
+/// Writes a probe to the end of `bytes`: whether the node takes work.
+pub fn encode_alive(tag: Hex, bytes: &mut Vec<u8>) {
+    bytes.extend_from_slice(format!("alive {tag}\r\n").as_bytes());
+}
+
 /// Decodes what one node answers.
 #[derive(Debug, Default)]
 pub struct Decoder {
     incoming: Incoming,
-    /// An answer whose bytes are still to come, and how many.
-    begun: Option<(Answer, usize)>,
+    /// A message whose bytes are still to come, and how many.
+    begun: Option<(Message, usize)>,
 }
 
 fn remark(word: &str) -> Remark {
@@ -130,14 +149,17 @@
     Report { in_hand: value("inflight"), busy: value("util") }
 }
 
-/// The head of an answer and the length of its bytes.
-fn head(line: &str) -> Result<(Answer, usize), Unreadable> {
+/// The head of a message and the length of its bytes.
+fn head(line: &str) -> Result<(Message, usize), Unreadable> {
     let shown: String = line.chars().take(80).collect();
     let unreadable = || Unreadable(format!("expected an answer, found '{}'", shown.escape_debug()));
     let words: Vec<_> = line.split(' ').collect();
     let [id, word, list, length] = words[..] else { return Err(unreadable()) };
     let length = digits(length, LONGEST_BODY).ok_or_else(unreadable)? as usize;
     let outcome = match word {
+        "yes" | "no" => {
+            return Ok((Message::Alive { tag: Hex::read(id), takes_work: word == "yes" }, length));
+        }
         "ok" | "current" => Outcome::Served,
         "nothing" => Outcome::Missed,
         "refused" => Outcome::Refused,
@@ -170,7 +192,7 @@
         }
     }
     answer.copy = tag.zip(made);
-    Ok((answer, length))
+    Ok((Message::Answer(answer), length))
 }
 
 impl Decoder {
@@ -184,19 +206,22 @@
         self.incoming.settle();
     }
 
-    /// Whether part of an answer has come and the rest has not.
+    /// Whether part of a message has come and the rest has not.
     pub fn is_midway(&self) -> bool {
         self.begun.is_some() || !self.incoming.is_empty()
     }
 
-    /// The next whole answer; an error means that no more can be read here.
-    pub fn next_answer(&mut self) -> Result<Option<Answer>, Unreadable> {
+    /// The next whole message; an error means that no more can be read here.
+    pub fn next_message(&mut self) -> Result<Option<Message>, Unreadable> {
         if self.begun.is_none() {
             let Some(line) = self.incoming.line(LONGEST_LINE)? else { return Ok(None) };
             self.begun = Some(head(&line)?);
         }
         let Some((_, length)) = &self.begun else { return Ok(None) };
         let Some(body) = self.incoming.block(*length)? else { return Ok(None) };
-        Ok(self.begun.take().map(|(answer, _)| Answer { body, ..answer }))
+        Ok(self.begun.take().map(|(message, _)| match message {
+            Message::Answer(answer) => Message::Answer(Answer { body, ..answer }),
+            alive @ Message::Alive { .. } => alive,
+        }))
     }
 }
--- a/crates/routing/src/change_log/knowledge.rs
+++ b/crates/routing/src/change_log/knowledge.rs
@@ -76,6 +76,12 @@
         self.vouched.is_some_and(|last| now.since(last.at) <= HEARTBEAT_PERIOD.after(HEARTBEAT_SLACK))
     }
 
+    /// Whether all is known that must be heeded within `grace`: heartbeats come in time, and are not late by that.
+    pub fn is_current(&self, now: Nanos, grace: Nanos) -> bool {
+        let in_time = |last: Vouched| last.late_by < grace.since(MARGIN).max(MARGIN);
+        self.is_followed(now) && self.vouched.is_some_and(in_time)
+    }
+
     /// All that was written by then is known; a stream that is followed knows all but what it is late by.
     pub fn complete_until(&self, now: Nanos) -> Nanos {
         match self.vouched.filter(|_| self.is_followed(now)) {
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -153,6 +153,8 @@
     pub purge_done: Nanos,
     /// The time to heed a purge.
     pub purge_notice: Nanos,
+    /// Sends to a node that drains or is gone must end within this.
+    pub drain_grace: Nanos,
     /// How caches start.
     pub cache_cold: ColdStart,
     /// How parents start.
@@ -175,6 +177,8 @@
     pub sizes_told: bool,
     /// Nodes may be probed, and say what they are doing.
     pub probes: bool,
+    /// Nodes may be asked whether they take work.
+    pub may_probe: bool,
     /// What storms are met with; `None` for nothing.
     pub storms: Option<StormSettings>,
 }
@@ -353,6 +357,9 @@
     fn arm(&mut self, span: Nanos, token: u64);
     /// Asks a node what it is doing; the answer comes by [`crate::policy::Dispatcher::probed`].
     fn probe(&mut self, node: NodeId);
+    /// Asks a node whether it takes work; the answer comes by [`crate::policy::Dispatcher::probe_answered`]. Only where the
+    /// adapter tells what is known of the change log.
+    fn ask_alive(&mut self, _node: NodeId) {}
     /// Opens the standing subscription to the list of nodes.
     fn follow(&mut self);
     /// Writes a line for on-call staff.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod interface;
 pub mod listed;
+pub mod node_lease;
 pub mod nodes;
 pub mod pinned_rules;
 pub mod policy;
--- a/crates/routing/src/nodes.rs
+++ b/crates/routing/src/nodes.rs
@@ -3,6 +3,7 @@
 use crate::fleet::slow_start::TokenBucket;
 use crate::interface::{Nanos, NodeEntry, NodeId, Readiness, Report, ZoneId};
 use crate::listed::{Listed, Role};
+use crate::node_lease::NodeLease;
 use crate::size::{PROBE_PARENTS, Size, Sizes};
 use crate::state::{Sent, Slots};
 use crate::structures::ring_buffer::RingBuffer;
@@ -38,6 +39,8 @@
     pub on_trial: bool,
     /// When a connection to it last broke, or could not be made.
     pub broke: Nanos,
+    /// What it has shown of whether it takes work.
+    pub lease: NodeLease,
 }
 
 impl Node {
@@ -58,6 +61,7 @@
             aside_until: Nanos::ZERO,
             on_trial: false,
             broke: Nanos::ZERO,
+            lease: NodeLease::default(),
         }
     }
 
@@ -276,6 +280,12 @@
         self.get(id).filter(|n| n.listed && self.role(&n.e) == Role::OwnCache)
     }
 
+    /// The listed nodes that serve the own location: its caches, the parents and the origin.
+    pub fn serving(&self) -> Vec<NodeId> {
+        let origin = self.in_use.origin();
+        self.in_use.caches().iter().chain(self.in_use.parents()).copied().chain(origin).collect()
+    }
+
     /// The listed parents.
     pub fn parents(&self) -> impl Iterator<Item = &Node> {
         self.in_use.parents().iter().filter_map(|id| self.slots.get(id.0))
--- a/crates/routing/src/policy/ends.rs
+++ b/crates/routing/src/policy/ends.rs
@@ -129,6 +129,7 @@
     ) {
         use Outcome::*;
         self.nodes.count_out(sent, -1);
+        self.lease_shown(sent, end);
         let origin = self.nodes.origin();
         if sent.overdue && matches!(end.remark, Remark::FilledFromCopy | Remark::FilledFromOrigin) {
             self.origin.came(now);
@@ -210,8 +211,11 @@
     /// An attempt is overdue. If its node, or its source, answered nothing since it was sent, that is silent: it
     /// is set aside, and what is out there is called off to go elsewhere.
     pub fn timer(&mut self, now: Nanos, token: u64, out: &mut impl Actions) {
-        if token >= PROBE_DUE {
-            return if token == PROBE_DUE { self.probe(out) } else { out.follow() };
+        match token {
+            FOLLOW_DUE => return out.follow(),
+            PROBE_DUE => return self.probe(out),
+            LEASES_DUE => return self.renew_leases(now, out),
+            _ => {}
         }
         let Some(request) = self.requests.get((token >> 32) as u32) else { return };
         let waits = request.stage == Stage::Attempting
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -2,6 +2,7 @@
 //! a method for each thing that happens. The module answers through the `Actions` it is handed, before the
 //! call returns. Words and trait: `src/interface.rs`.
 
+use crate::change_log::Knowledge;
 use crate::fleet::bandwidth_share::BandwidthShare;
 use crate::fleet::origin_limiter::OriginLimiter;
 use crate::fleet::overload_control::{Admission, OverloadControl, Supply};
@@ -14,12 +15,16 @@
 use crate::state::*;
 use crate::structures::random::Random;
 use crate::structures::ring_buffer::RingBuffer;
+use std::cell::Cell;
 
 mod ends;
 mod fill;
 mod ordinary;
 mod place;
 mod rules;
+mod unheard;
+
+pub use unheard::UnheardCounts;
 
 // MC3's open choices, and the starting values of the design page.
 const TABLE: usize = 20_000; // shadow entries
@@ -42,7 +47,9 @@
 const ASIDE_SPREAD_S: f64 = 2.0;
 const OVERDUE_STRETCH: f64 = 2.0; // an attempt is looked at after this many times its work and
 const OVERDUE_SLACK: Nanos = Nanos(300_000_000);
-const PROBE_DUE: u64 = u64::MAX - 1; // the token of the next
+const FOLLOW_DUE: u64 = u64::MAX; // the tokens of timers of its own
+const PROBE_DUE: u64 = u64::MAX - 1;
+const LEASES_DUE: u64 = u64::MAX - 2;
 const ASK_AGAIN: Nanos = Nanos(1_000_000_000); // after a failed call to discovery
 // Load, in transfers for each one that the node's link fits.
 const FULL: f64 = 1.5; // the next cache in hash order takes over
@@ -79,6 +86,9 @@
     purges: Purges,
     storm: Option<OverloadControl>, // off unless the operators tell of storms
     again: Nanos,                   // when the cold node that was asked last bears an attempt of this one's
+    knowledge: Option<Knowledge>,   // of the change log, where the adapter tells
+    probes_leases: bool,            // a timer is set for that
+    unheard: Cell<UnheardCounts>,   // counted where choices are only read
     random: Random,
     serial: u32,
 }
@@ -102,6 +112,9 @@
             purges: Purges::default(),
             storm: s.storms.map(storm),
             again: Nanos::ZERO,
+            knowledge: None,
+            probes_leases: false,
+            unheard: Cell::default(),
             random: Random::new(s.seed),
             serial: 0,
             s,
@@ -193,7 +206,7 @@
 
     /// A call to discovery failed: the old list stands, and the subscription is asked for again.
     pub fn list_failed(&mut self, _now: Nanos, out: &mut impl Actions) {
-        out.arm(ASK_AGAIN, u64::MAX);
+        out.arm(ASK_AGAIN, FOLLOW_DUE);
     }
 
     /// An object was purged `age` ago.
--- a/crates/routing/src/policy/ordinary.rs
+++ b/crates/routing/src/policy/ordinary.rs
@@ -80,6 +80,7 @@
         self.again = Nanos::ZERO;
         let chosen = match request.missed_at.filter(|id| self.nodes.get(*id).is_some_and(|n| n.listed)) {
             _ if self.row(&request.d).told.uncacheable => self.runs_at(now, &request),
+            Some(node) if !self.takes_work(now, node) => None,
             Some(node) if !self.bears(now, node, self.row(&request.d).mean_work_s) => None,
             Some(node) if rides == Some(node) && self.open(now, node) => Some((node, node)),
             Some(node) if self.too_full(now, &request, node) => None,
@@ -106,7 +107,14 @@
             try_for: None,
             rank,
             max_age: self.max_age(now, &request.d),
-            send_by: request.may_have_run.and_then(|(first, _)| request.pinned.repeat().send_by(first)),
+            send_by: [
+                request.may_have_run.and_then(|(first, _)| request.pinned.repeat().send_by(first)),
+                self.may_send_until(now, node),
+                self.may_send_until(now, source),
+            ]
+            .into_iter()
+            .flatten()
+            .min(),
             join: self.s.joins && request.attempts.len() < 2,
             held_only: by_cache || (by_parent && !self.may_fetch(now, &request, request.keep.fill_rank)),
             no_parent_copy: rank == 3 && by_parent,
--- a/crates/routing/src/policy/place.rs
+++ b/crates/routing/src/policy/place.rs
@@ -16,6 +16,7 @@
     pub(super) fn open(&self, now: Nanos, id: NodeId) -> bool {
         let n = self.nodes.get(id);
         n.is_some_and(|n| n.listed && n.aside_until <= now && !(n.on_trial && n.out > 0))
+            && self.takes_work(now, id)
     }
 
     /// With no cache of the location to be asked, straight to a parent, where allowed and the link has room.
@@ -81,7 +82,9 @@
         let mut caches = self.caches(now, request);
         // Where all fail at times and none is open, those that still answer are better than none.
         let none_open = !caches.iter().any(|c| self.open(now, c.node));
-        let answers = |id: NodeId| none_open && self.nodes.get(id).is_some_and(|n| n.started <= now);
+        let answers = |id: NodeId| {
+            none_open && self.nodes.get(id).is_some_and(|n| n.started <= now) && self.takes_work(now, id)
+        };
         caches.retain(|c| {
             self.may_repeat_at(now, request, c.node) && (self.open(now, c.node) || answers(c.node))
         });
@@ -111,7 +114,7 @@
 
     /// An uncacheable request runs at the origin: straight, or through a parent if that fails.
     pub(super) fn runs_at(&mut self, now: Nanos, request: &RequestState) -> Option<(NodeId, NodeId)> {
-        let origin = self.nodes.origin()?;
+        let origin = self.nodes.origin().filter(|origin| self.takes_work(now, *origin))?;
         if request.may_have_run.is_some() || !self.may_fetch(now, request, 4) {
             return None;
         }
--- a/crates/routing/src/policy/rules.rs
+++ b/crates/routing/src/policy/rules.rs
@@ -51,7 +51,8 @@
     /// Rule 5: no copy older than a purge, for as long as such copies may lie about.
     pub(super) fn max_age(&mut self, now: Nanos, d: &RoutingRequest) -> Option<Nanos> {
         self.purges.forget(now, self.s.purge_done.after(self.s.purge_notice));
-        let since = now.since(self.purges.last(d.object_hash, d.group)?);
+        let purged = self.purges.last(d.object_hash, d.group).map(|purged| now.since(purged));
+        let since = purged.into_iter().chain(self.max_age_unheard(now)).min()?;
         let fresh = self.row(d).told.fresh_for;
         // Never down to nothing, which would stand for no limit.
         Some(since.min(fresh.unwrap_or(since)).max(Nanos(1_000)))
--- a/crates/routing/tests/module/common.rs
+++ b/crates/routing/tests/module/common.rs
@@ -91,6 +91,7 @@
         link_kb_per_s: 0.0,
         purge_done: ms(6_000),
         purge_notice: ms(500),
+        drain_grace: ms(1_000),
         cache_cold: ColdStart { share: 0.2, warm_after: ms(15_000), fall_multiple: 2.5 },
         parent_cold: ColdStart { share: 0.07, warm_after: ms(21_000), fall_multiple: 2.0 },
         fall_for: ms(1_500),
@@ -102,6 +103,7 @@
         max_attempts: 6,
         sizes_told: true,
         probes: false,
+        may_probe: false,
         storms: None,
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,6 +14,8 @@
 pub struct Options(HashMap<String, String>);
 
 /// What the change log has to tell counts as told after this long, whether it arrived or not; the platform's page on
+/// Sends to a node that drains must end within this, in seconds, where the settings do not say.
+const USUAL_DRAIN_GRACE_S: f64 = 1.0;
 /// its protocol says so, and the operators of another may say otherwise.
 const TOLD_AFTER: Nanos = Nanos(7_000_000_000);
 
@@ -209,6 +211,7 @@
             link_kb_per_s: self.listed_number("family_info.pipe_kb_per_s", zone as usize, 0.0)?,
             purge_done: self.span_or_zero("family_info.purge_done_s")?,
             purge_notice: self.span_or_zero("family_info.notice_time_s")?,
+            drain_grace: Nanos::from_secs(self.number_or("rules.drain_grace_s", USUAL_DRAIN_GRACE_S)?),
             cache_cold: ColdStart {
                 share: self.number("rules.cold_share")?,
                 warm_after: self.span("rules.cold_s")?,
@@ -229,6 +232,7 @@
             sizes_told: self.raw("weights") != Some("none"),
             probes: self.flag("limits.probing")?
                 && (0..4).any(|at| self.listed("report.fields", at) == Some("cpu_share")),
+            may_probe: self.flag("limits.probing")?,
             storms: None,
         })
     }
--- a/crates/testbed/src/many_rules.rs
+++ b/crates/testbed/src/many_rules.rs
@@ -81,6 +81,7 @@
         link_kb_per_s: 0.0,
         purge_done: Nanos::ZERO,
         purge_notice: Nanos::ZERO,
+        drain_grace: Nanos(1_000_000_000),
         cache_cold: cold,
         parent_cold: cold,
         fall_for: Nanos(3_000_000_000),
@@ -92,6 +93,7 @@
         max_attempts: 6,
         sizes_told: true,
         probes: false,
+        may_probe: false,
         storms: None,
     }
 }
