--- a/crates/dispatcher/src/changes/link.rs
+++ b/crates/dispatcher/src/changes/link.rs
@@ -67,6 +67,11 @@
         Ok(line)
     }
 
+    /// Whether its bytes end within a line.
+    pub(super) fn is_midway(&self) -> bool {
+        self.decoder.is_midway()
+    }
+
     /// Whether it has told a whole line.
     pub(super) fn has_told(&self) -> bool {
         self.last_line.is_some()
--- a/crates/dispatcher/src/changes/mod.rs
+++ b/crates/dispatcher/src/changes/mod.rs
@@ -286,7 +286,13 @@
         loop {
             let told = match self.merge.next_step(now) {
                 Some(step) => self.take(step, now, effects),
-                None => self.read(now, effects)?,
+                None => match self.read(now, effects) {
+                    Some(told) => told,
+                    None => {
+                        self.knowledge.read(now, self.streams.iter().any(Stream::is_midway));
+                        return None;
+                    }
+                },
             };
             if told.is_some() {
                 return told;
--- a/crates/dispatcher/src/changes/stream.rs
+++ b/crates/dispatcher/src/changes/stream.rs
@@ -77,6 +77,11 @@
         self.links.iter().any(Link::has_told)
     }
 
+    /// Whether the bytes of an open call end within a line.
+    pub(super) fn is_midway(&self) -> bool {
+        self.links.iter().any(Link::is_midway)
+    }
+
     /// The dispatcher starts, with a list that will do or without: returns when it is called.
     pub(super) fn started(&mut self, now: Nanos, has_list: bool) -> Nanos {
         self.calls.started(now, has_list)
--- a/crates/dispatcher/tests/outage/fleet.rs
+++ b/crates/dispatcher/tests/outage/fleet.rs
@@ -5,6 +5,7 @@
 use crate::clock::PlayClock;
 use crate::judge::{FaultSpan, Record};
 use crate::nodes::{GROUPS, Nodes, Role};
+use copperroute_fault_injection::{self as fault_injection, FaultPlan, VARIABLE};
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -57,6 +58,11 @@
 impl Fleet {
     /// Starts one, with its clients, and waits until it serves.
     pub(crate) fn start(name: &str, terms: Terms, seed: u64) -> Fleet {
+        Fleet::on_clock(name, terms, seed, &FaultPlan::default())
+    }
+
+    /// The same on a machine whose wall clock steps as a plan says.
+    pub(crate) fn on_clock(name: &str, terms: Terms, seed: u64, plan: &FaultPlan) -> Fleet {
         static PLAYS: AtomicU32 = AtomicU32::new(0);
         let play = PLAYS.fetch_add(1, Ordering::Relaxed);
         let network = [252, ((std::process::id() * 31 + play) % 250) as u8];
@@ -75,6 +81,8 @@
         let program = Command::new(env!("CARGO_BIN_EXE_copperroute"))
             .args(["serve", "--operator", OPERATOR, "--config"])
             .arg(&files[0])
+            .env("LD_PRELOAD", fault_injection::library())
+            .env(VARIABLE, plan.to_string())
             .stderr(Stdio::from(errors))
             .spawn()
             .expect("the program starts");
--- a/crates/dispatcher/tests/outage/main.rs
+++ b/crates/dispatcher/tests/outage/main.rs
@@ -8,3 +8,5 @@
 mod judge;
 mod nodes;
 mod reproduction;
+mod soak;
+mod story;
--- a/crates/protocol/src/changes.rs
+++ b/crates/protocol/src/changes.rs
@@ -156,6 +156,11 @@
         self.0.feed(bytes);
     }
 
+    /// Whether part of a line has come and the rest has not.
+    pub fn is_midway(&self) -> bool {
+        !self.0.is_empty()
+    }
+
     /// The next whole line; an error means that no more can be read here.
     pub fn next_line(&mut self) -> Result<Option<Line>, Unreadable> {
         let Some(line) = self.0.line(LONGEST_LINE)? else { return Ok(None) };
--- a/crates/routing/src/change_log/knowledge.rs
+++ b/crates/routing/src/change_log/knowledge.rs
@@ -17,6 +17,8 @@
 const TOLD_AFTER_MOVE: Nanos = Nanos(4_000_000_000);
 /// A heartbeat may be later than its period by this before the stream counts as stopped.
 const HEARTBEAT_SLACK: Nanos = Nanos(500_000_000);
+/// A line that is not whole after this has not just been cut in two on its way.
+const QUICK_LINE: Nanos = Nanos(50_000_000);
 /// What is decided takes a moment to leave, and the writer's clock is not ours: doubt begins earlier by this.
 const MARGIN: Nanos = Nanos(100_000_000);
 
@@ -29,6 +31,8 @@
     vouched: Option<Vouched>,
     /// What has not been heard counts as told from then on.
     counts_from: Nanos,
+    /// Since when a line has been coming that is not whole.
+    line_begun: Option<Nanos>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,7 +44,12 @@
 impl Knowledge {
     /// At the start: the configuration knows all up to now.
     pub fn started(now: Nanos) -> Self {
-        Knowledge { complete_until: now, vouched: None, counts_from: now.after(TOLD_AFTER_BREAK) }
+        Knowledge {
+            complete_until: now,
+            vouched: None,
+            counts_from: now.after(TOLD_AFTER_BREAK),
+            line_begun: None,
+        }
     }
 
     /// A heartbeat names the last event that was applied; it was late by so much.
@@ -48,16 +57,36 @@
         let written = now.since(late_by);
         self.complete_until = self.complete_until.max(written);
         self.vouched = Some(Vouched { at: now, late_by });
+        self.line_begun = None;
         self.counts_from = written.after(TOLD_AFTER_STOP);
     }
 
+    /// All bytes that came have been read; whether they end within a line. An event that takes long to come has been told as
+    /// it began, and others may wait behind it: only a heartbeat says that there are none.
+    pub fn read(&mut self, now: Nanos, is_midway: bool) {
+        match self.line_begun {
+            None if is_midway => self.line_begun = Some(now),
+            Some(begun) if !is_midway && now.since(begun) < QUICK_LINE => self.line_begun = None,
+            _ => {}
+        }
+    }
+
     /// No stream is followed any more.
     pub fn lost(&mut self, now: Nanos) {
-        if self.vouched.take().is_some() {
+        if self.unfollow() {
             self.counts_from = self.counts_from.min(now.after(TOLD_AFTER_BREAK));
         }
     }
 
+    /// The stream that vouched stands no more; tells whether there was one. What it was late by was written, and not told.
+    fn unfollow(&mut self) -> bool {
+        let Some(last) = self.vouched.take() else { return false };
+        if last.late_by > MARGIN {
+            self.counts_from = self.counts_from.min(last.at.since(last.late_by));
+        }
+        true
+    }
+
     /// The change log is asked anew: all that it holds counts as told with that, unless another stream tells it.
     pub fn asked(&mut self, now: Nanos) {
         if !self.is_followed(now) {
@@ -67,13 +96,15 @@
 
     /// The change log is to be followed elsewhere.
     pub fn moved(&mut self, now: Nanos) {
-        self.vouched = None;
+        self.unfollow();
         self.counts_from = self.counts_from.min(now.after(TOLD_AFTER_MOVE));
     }
 
     /// Whether heartbeats come in time.
     pub fn is_followed(&self, now: Nanos) -> bool {
-        self.vouched.is_some_and(|last| now.since(last.at) <= HEARTBEAT_PERIOD.after(HEARTBEAT_SLACK))
+        let waits = self.line_begun.is_some_and(|begun| now.since(begun) >= QUICK_LINE);
+        !waits
+            && self.vouched.is_some_and(|last| now.since(last.at) <= HEARTBEAT_PERIOD.after(HEARTBEAT_SLACK))
     }
 
     /// Whether all is known that must be heeded within `grace`: heartbeats come in time, and are not late by that.
@@ -98,12 +129,18 @@
     /// When doubt begins, unless something is heard before, about events that must be heeded within `grace`.
     pub fn doubtful_from(&self, now: Nanos, grace: Nanos) -> Nanos {
         let within = grace.since(MARGIN);
-        match self.vouched.filter(|_| self.is_followed(now)) {
+        let line = self.line_begun.map(|begun| begun.after(within.max(QUICK_LINE)));
+        line.into_iter().chain([self.doubtful_without_line(now, within)]).min().unwrap_or(now)
+    }
+
+    fn doubtful_without_line(&self, now: Nanos, within: Nanos) -> Nanos {
+        let list_ends = self.counts_from.after(within);
+        match self.vouched {
             Some(last) if last.late_by >= within.max(MARGIN) => last.at,
-            Some(last) => {
-                last.at.after(HEARTBEAT_PERIOD).after(HEARTBEAT_SLACK).max(self.counts_from.after(within))
+            Some(last) if self.is_followed(now) => {
+                list_ends.max(last.at.after(HEARTBEAT_PERIOD).after(HEARTBEAT_SLACK))
             }
-            None => self.counts_from.after(within),
+            _ => list_ends,
         }
     }
 
--- a/crates/routing/src/policy/unheard.rs
+++ b/crates/routing/src/policy/unheard.rs
@@ -61,11 +61,14 @@
         self.knowledge.is_some_and(|knowledge| knowledge.is_doubtful(now, self.s.purge_notice))
     }
 
-    /// The oldest copy that no purge can forbid that was not heard; `None` while all are heard.
+    /// The oldest copy that no purge can forbid that was not heard, whenever that was: one that is younger than the time to
+    /// heed it. `None` while all are heard.
     pub(super) fn max_age_unheard(&self, now: Nanos) -> Option<Nanos> {
-        let knowledge = self.knowledge.filter(|_| self.purges_are_doubtful(now))?;
+        if !self.purges_are_doubtful(now) {
+            return None;
+        }
         self.count_unheard(|counts| counts.newer_copies += 1);
-        Some(knowledge.age(now))
+        Some(self.s.purge_notice.since(LEAVES_WITHIN))
     }
 
     /// What an attempt's end shows of its node and its source.
