Change log: events seen to be missing begin doubt at once; the replica waits longer for late sources

Now what a heartbeat or a gap shows to be missing counts from the last heartbeat that vouched.

Related path: the replica gave each call up after 2 s, so a source slower than that was never heard; with one call at a time it now waits 2, 4, 8, 16 s. Tests of the table of doubt (routing unheard), of calls beside each other (dispatcher change_log_calls).

--- a/crates/dispatcher/src/changes/mod.rs
+++ b/crates/dispatcher/src/changes/mod.rs
@@ -305,7 +305,10 @@
         match step {
             Step::Apply { event, lost } => return Some(Told::Change { change: event, lost }),
             Step::LeftOut { number, why } => log::warn!("change log: event {number} left out: {why}"),
-            Step::Reconnect { source, reason } => self.give_up(source, now, &reason.to_string(), effects),
+            Step::Reconnect { source, reason } => {
+                self.knowledge.missing();
+                self.give_up(source, now, &reason.to_string(), effects);
+            }
             Step::Contradiction { source, number, event } => {
                 let stream = &self.streams[source];
                 let line =
@@ -384,6 +387,7 @@
                 false
             }
             Heartbeat::Reconnect(reason) => {
+                self.knowledge.missing();
                 self.give_up(of, now, &reason.to_string(), effects);
                 return None;
             }
--- a/crates/dispatcher/tests/dispatcher/main.rs
+++ b/crates/dispatcher/tests/dispatcher/main.rs
@@ -3,6 +3,7 @@
 mod agreed;
 mod attempts;
 mod broken_connections;
+mod change_log_calls;
 mod clients;
 mod clocks;
 mod clocks_process;
--- a/crates/routing/src/calls.rs
+++ b/crates/routing/src/calls.rs
@@ -20,6 +20,8 @@
 const ANSWER: Nanos = Nanos(500_000_000);
 /// A second's line comes each second: after this long without a whole line a call, or a stream, has ended.
 const SILENT_AFTER: Nanos = Nanos(2_000_000_000);
+/// How often the wait for an answer doubles where one call is made at a time: to 16 s.
+const MOST_DOUBLINGS: u32 = 3;
 /// A stream that told something for so long is steady. One that ends sooner is a call more that brought nothing.
 const STEADY: Nanos = Nanos(2_000_000_000);
 /// Who calls so much later than it meant to was stopped.
@@ -253,6 +255,16 @@
         !matches!(self.line, Line::Waiting(_)) && now.since(self.heard) > SILENT_AFTER
     }
 
+    /// Whether one who has a single call at a time is to end it: a stream that is silent, or a call that was waited for as long
+    /// as the last one and as long again. A service that answers late is heard once it is waited for that long.
+    pub fn has_run_out(&self, now: Nanos) -> bool {
+        let waits_for = match self.line {
+            Line::Calling(_) => Nanos(SILENT_AFTER.0 << self.in_vain.min(MOST_DOUBLINGS)),
+            _ => SILENT_AFTER,
+        };
+        !matches!(self.line, Line::Waiting(_)) && now.since(self.heard) > waits_for
+    }
+
     /// A call could not be made for want of this machine's own: returns when it is tried again. It has never reached the
     /// service, so it is none in vain, and costs it nothing; where rounds are told it waits for a place of its own in
     /// one, as many may be free of their wants at one moment.
--- a/crates/routing/src/change_log/knowledge.rs
+++ b/crates/routing/src/change_log/knowledge.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Something has been told that shows that events are missing: they were written after all that is known.
+    pub fn missing(&mut self) {
+        self.unfollow();
+        self.counts_from = self.counts_from.min(self.complete_until);
+    }
+
     /// No stream is followed any more.
     pub fn lost(&mut self, now: Nanos) {
         if self.unfollow() {
--- a/crates/routing/tests/module/calls.rs
+++ b/crates/routing/tests/module/calls.rs
@@ -112,6 +112,22 @@
     assert_eq!(calls.line(), Line::Following(at));
 }
 
+#[test]
+fn who_makes_one_call_at_a_time_waits_for_each_twice_as_long_as_for_the_one_before() {
+    let mut calls = Calls::new(told(1, None), 1, UNIX);
+    let mut at = calls.started(ms(0), true);
+    for waits_s in [2, 4, 8, 16, 16] {
+        calls.called(at);
+        let until = at.after(ms(waits_s * 1_000));
+        assert!(!calls.has_run_out(until) && calls.has_run_out(until.after(ms(1))), "{waits_s} s");
+        at = calls.ended(until).0;
+    }
+    // Once it is heard, silence is as short as ever.
+    calls.called(at);
+    calls.heard(at);
+    assert!(!calls.has_run_out(at.after(ms(2_000))) && calls.has_run_out(at.after(ms(2_001))));
+}
+
 #[test]
 fn a_service_elsewhere_is_called_at_a_drawn_moment() {
     let moved = |seed| {
--- a/crates/routing/tests/module/change_log/knowledge.rs
+++ b/crates/routing/tests/module/change_log/knowledge.rs
@@ -94,6 +94,13 @@
     assert_eq!(doubted_from(&knowledge), 2_100 + 4_900);
 }
 
+#[test]
+fn events_that_are_seen_to_be_missing_were_written_since_the_last_heartbeat() {
+    let mut knowledge = followed();
+    knowledge.missing();
+    assert_eq!(doubted_from(&knowledge), 900);
+}
+
 #[test]
 fn what_is_known_ends_before_what_a_late_stream_has_not_told() {
     let mut knowledge = followed();
--- a/crates/routing/tests/module/common.rs
+++ b/crates/routing/tests/module/common.rs
@@ -46,6 +46,9 @@
     fn probe(&mut self, node: NodeId) {
         say!(self, "probe {}", node.0);
     }
+    fn ask_alive(&mut self, node: NodeId) {
+        say!(self, "alive {}", node.0);
+    }
     fn follow(&mut self) {
         say!(self, "follow");
     }
--- a/crates/routing/tests/module/main.rs
+++ b/crates/routing/tests/module/main.rs
@@ -24,3 +24,4 @@
 mod storm_day;
 mod storms;
 mod structures;
+mod unheard;
