--- a/crates/change-log-replica/src/core.rs
+++ b/crates/change-log-replica/src/core.rs
@@ -207,7 +207,7 @@
         if !self.heartbeats.is_current(now) && !self.faults.is(Fault::SkipLapse) {
             self.lapse(now);
         }
-        if self.phase != Phase::Waiting && self.calls.has_run_out(now) {
+        if self.phase != Phase::Waiting && self.calls.has_run_out(now, self.sources.count()) {
             self.lose(now, "silent");
         }
         self.retention.forget(now);
--- a/crates/change-log-replica/src/sources.rs
+++ b/crates/change-log-replica/src/sources.rs
@@ -15,6 +15,11 @@
         Sources { all, at: 0 }
     }
 
+    /// How many there are.
+    pub fn count(&self) -> u32 {
+        self.all.len() as u32
+    }
+
     /// The one that is followed or called.
     pub fn present(&self) -> Source {
         self.all[self.at]
--- a/crates/routing/src/calls.rs
+++ b/crates/routing/src/calls.rs
@@ -255,11 +255,12 @@
         !matches!(self.line, Line::Waiting(_)) && now.since(self.heard) > SILENT_AFTER
     }
 
-    /// Whether one who has a single call at a time is to end it: a stream that is silent, or a call that was waited for as long
-    /// as the last one and as long again. A service that answers late is heard once it is waited for that long.
-    pub fn has_run_out(&self, now: Nanos) -> bool {
+    /// Whether one who has a single call at a time, to so many sources in turn, is to end it: a stream that is silent, or a call
+    /// that was waited for twice as long as the one before to the same source. One that answers late is heard once it is
+    /// waited for that long.
+    pub fn has_run_out(&self, now: Nanos, sources: u32) -> bool {
         let waits_for = match self.line {
-            Line::Calling(_) => Nanos(SILENT_AFTER.0 << self.in_vain.min(MOST_DOUBLINGS)),
+            Line::Calling(_) => Nanos(SILENT_AFTER.0 << (self.in_vain / sources.max(1)).min(MOST_DOUBLINGS)),
             _ => SILENT_AFTER,
         };
         !matches!(self.line, Line::Waiting(_)) && now.since(self.heard) > waits_for
--- a/crates/routing/tests/module/calls.rs
+++ b/crates/routing/tests/module/calls.rs
@@ -119,13 +119,13 @@
     for waits_s in [2, 4, 8, 16, 16] {
         calls.called(at);
         let until = at.after(ms(waits_s * 1_000));
-        assert!(!calls.has_run_out(until) && calls.has_run_out(until.after(ms(1))), "{waits_s} s");
+        assert!(!calls.has_run_out(until, 1) && calls.has_run_out(until.after(ms(1)), 1), "{waits_s} s");
         at = calls.ended(until).0;
     }
     // Once it is heard, silence is as short as ever.
     calls.called(at);
     calls.heard(at);
-    assert!(!calls.has_run_out(at.after(ms(2_000))) && calls.has_run_out(at.after(ms(2_001))));
+    assert!(!calls.has_run_out(at.after(ms(2_000)), 1) && calls.has_run_out(at.after(ms(2_001)), 1));
 }
 
 #[test]
--- a/crates/routing/tests/module/unheard.rs
+++ b/crates/routing/tests/module/unheard.rs
@@ -87,7 +87,8 @@
     let mut knowledge = broken();
     knowledge.vouched(first, Nanos::ZERO);
     module.change_log_known(first, knowledge, &mut trace);
-    (trace.0.clear(), trace.1.clear());
+    trace.0.clear();
+    trace.1.clear();
     module.timer(first.after(span), token, &mut trace);
     assert_eq!((trace.0.as_str(), trace.1.len()), ("", 0));
 }
