--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -35,6 +35,7 @@
 mod clients;
 mod deadlines;
 mod doubt;
+mod handing_on;
 mod moments;
 mod reload;
 
@@ -279,40 +280,6 @@
         std::mem::take(&mut self.request_table.effects)
     }
 
-    /// The module hears what is known of the change log, as that changes.
-    fn hand_on_knowledge(&mut self, now: Nanos) {
-        let knowledge = *self.log.knowledge();
-        if self.known.replace(knowledge) != Some(knowledge) {
-            self.module.change_log_known(now, knowledge, &mut self.request_table);
-        }
-    }
-
-    /// Attempts that have ended reach the module one by one, with what it does of it.
-    fn hand_on_ends(&mut self, now: Nanos) {
-        if let Some(made_ms) = self.request_table.latest_made_ms.take() {
-            self.outside.copy_heard(now, made_ms);
-        }
-        for (node, asked, takes_work) in std::mem::take(&mut self.request_table.alive) {
-            self.module.probe_answered(node, asked, takes_work);
-        }
-        for (node, until) in self.request_table.turned_away() {
-            self.module.node_turns_away(node, until);
-        }
-        while let Some((attempt, end)) = self.request_table.ended.pop_front() {
-            self.module.attempt_ended(now, attempt.request_id, attempt.number, &end, &mut self.request_table);
-        }
-        for (routing_request, offered) in std::mem::take(&mut self.request_table.offered) {
-            let known = self.module.known(&routing_request);
-            if let (Some(copies), Some((rate, hops))) = (&mut self.copies, known) {
-                if let Some(rank) = copies.to_disk(&offered, rate, hops) {
-                    let (key, facts, body) = (offered.key, offered.facts, offered.body.clone());
-                    self.request_table.effects.push(Effect::KeepCopy(key, facts, rank, body));
-                }
-                copies.offer(offered, rate, hops);
-            }
-        }
-    }
-
     /// Before each decision: the rules that are in force by now. Leases run out, and moments come, between events.
     fn obey(&mut self, now: Nanos) {
         let Some(agreed) = &mut self.agreed else { return };
--- a/crates/routing/src/node_lease.rs
+++ b/crates/routing/src/node_lease.rs
@@ -33,6 +33,11 @@
         self.refused = self.refused.max(Some(sent));
     }
 
+    /// Whether it has shown anything.
+    pub fn has_shown(&self) -> bool {
+        self.took.is_some() || self.refused.is_some()
+    }
+
     /// Whether it has refused since the list was known, and taken nothing that was sent later.
     pub fn is_refused(&self, list_known_until: Nanos) -> bool {
         self.refused >= self.took && self.refused.is_some_and(|at| at >= list_known_until)
--- a/crates/routing/src/nodes.rs
+++ b/crates/routing/src/nodes.rs
@@ -286,6 +286,11 @@
         self.in_use.caches().iter().chain(self.in_use.parents()).copied().chain(origin).collect()
     }
 
+    /// How many those are.
+    pub fn serving_count(&self) -> usize {
+        self.in_use.caches().len() + self.in_use.parents().len() + usize::from(self.in_use.origin().is_some())
+    }
+
     /// The listed parents.
     pub fn parents(&self) -> impl Iterator<Item = &Node> {
         self.in_use.parents().iter().filter_map(|id| self.slots.get(id.0))
--- a/crates/routing/src/policy/unheard.rs
+++ b/crates/routing/src/policy/unheard.rs
@@ -93,7 +93,7 @@
         let is_above = self.nodes.is_parent(id) || self.nodes.is_origin(id);
         let sharers = if is_above { self.s.dispatchers } else { self.s.zone_dispatchers };
         let span = self.s.drain_grace.since(LEAVES_WITHIN);
-        LeaseTerms::new(span, self.s.may_probe, sharers, self.nodes.serving().len())
+        LeaseTerms::new(span, self.s.may_probe, sharers, self.nodes.serving_count())
     }
 
     /// Until when a node may be sent new work, or named as a source; `None` for as long as the list is known.
@@ -170,7 +170,9 @@
             let terms = self.lease_terms(id);
             let is_due = |node: &Node| node.lease.ends(list_holds_until, terms.span) <= now.after(ahead);
             let refused = |node: &Node| node.lease.is_refused(knowledge.complete_until(now));
-            if self.nodes.get(id).is_some_and(|node| is_due(node) || refused(node)) {
+            // Where leases are not kept, no connection is made for a probe alone.
+            let is_asked = |node: &Node| terms.is_strict || node.lease.has_shown();
+            if self.nodes.get(id).is_some_and(|node| is_asked(node) && (is_due(node) || refused(node))) {
                 out.ask_alive(id);
             }
         }
