--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -23,7 +23,7 @@
 "parent_cold_from":0.061,"parent_cold_s":22.0,"parent_breaks_at":2.0}},
 "rules":{{"cold_share":0.15,"cold_s":18.0,"fall_multiple":3.0,"overload_for_s":3.0,"drain_grace_s":2.0}},
 "report":{{"how":"probe","fields":["cpu_share","busy_reqs","x1"]}},
-"limits":{{"cancel":true,"probing":true,"retry_after":true,"max_retry_after_s":1.0,"max_attempts":8,
+"limits":{{"cancel":true,"probing":true,"retry_after":true,"max_retry_after_s":0.5,"max_attempts":8,
 "second_copies":true,"connect_timeout_s":0.4,"streams_per_conn":100,"conn_idle_s":30.0}}}}}}"#
     )
 }
@@ -66,7 +66,10 @@
     sleep_ms(1_000);
 
     // The archivo central runs six times slower (67 ms at most on a quiet day). A checkout, its client gives up early.
+    // It lasts 5.4 to 20 s; the checkout comes into its fifth second.
     world.origin_ms.store(400, Ordering::Relaxed);
+    record.line("the archivo central runs slower: 400 ms a checkout");
+    sleep_ms(4_500);
     let object = "00000000000000b2";
     let proxy = Proxy::start(dispatcher.listen);
     let mut first = Client::connect(proxy.address).expect("client");
@@ -81,8 +84,9 @@
     record.line("client: gives up, ABORT");
     first.abort(tag).expect("abort");
     let mut served = 0;
-    for repeat in 1..=3 {
-        sleep_ms(if repeat == 1 { 50 } else { 400 });
+    // Three repeats at most, after waits that double, of 50 to 400 ms.
+    for (repeat, wait_ms) in [(1, 100), (2, 200), (3, 400)] {
+        sleep_ms(wait_ms);
         let line = fields(object, true);
         record.line(&format!("client: checkout {object}, repeat {repeat}, {line}"));
         let mut again = Client::connect(dispatcher.listen).expect("client");
--- a/review/lib/stage.rs
+++ b/review/lib/stage.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,8 +20,13 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
+    fn prctl(option: i32, argument: usize, a: usize, b: usize, c: usize) -> i32;
 }
 
+/// Linux: the signal that a process gets when its parent ends (`PR_SET_PDEATHSIG`).
+const PARENT_DEATH_SIGNAL: i32 = 1;
+
 /// The Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
@@ -43,8 +49,9 @@
 
 fn end_all_and_exit(code: i32) -> ! {
     for pid in PROCESSES.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
-        // Only processes that this case has started are in the list.
-        unsafe { kill(pid, KILL) };
+        // Only processes that this case has started, and not waited for yet, are in the list.
+        let mut status = 0;
+        unsafe { (kill(pid, KILL), waitpid(pid, &mut status, 0)) };
     }
     if let Some(folder) = FOLDER.lock().unwrap_or_else(|e| e.into_inner()).take() {
         let _ = std::fs::remove_dir_all(folder);
@@ -170,7 +177,15 @@
             Some(path) => File::create(format!("{path}/{}-{}.log", self.name, self.starts)).expect("log"),
             None => log,
         };
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // If this program is ended from outside, the dispatchers end with it.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, KILL as usize, 0, 0, 0);
+                Ok(())
+            })
+        };
+        let child = command
             .args(["-c", &self.command])
             .current_dir(&self.root)
             .env("PROXY_NAME", &self.name)
@@ -222,7 +237,13 @@
 
     /// Whether it still runs.
     pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        let Some(child) = &mut self.child else { return false };
+        let runs = matches!(child.try_wait(), Ok(None));
+        if !runs {
+            let pid = child.id() as i32;
+            PROCESSES.lock().unwrap().retain(|other| *other != pid);
+        }
+        runs
     }
 }
 
@@ -334,6 +355,8 @@
     pub runs: Mutex<Vec<Run>>,
     serial: AtomicU64,
     pub object_bytes: usize,
+    /// The load report in each answer, where the settings say that answers hold one; else empty.
+    report: Mutex<String>,
 }
 
 impl World {
@@ -355,6 +378,7 @@
             runs: Mutex::default(),
             serial: AtomicU64::new(0),
             object_bytes: 2_000,
+            report: Mutex::default(),
         });
         for (index, listener) in listeners.into_iter().enumerate() {
             let world = world.clone();
@@ -372,6 +396,11 @@
         self.fresh_ms.lock().unwrap().insert(class.to_string(), (fresh_ms, grace_ms));
     }
 
+    /// From now on each answer holds this load report.
+    pub fn report_in_answers(&self, report: &str) {
+        *self.report.lock().unwrap() = format!(",rep={report}");
+    }
+
     pub fn address(&self, id: &str) -> SocketAddr {
         self.hosts.iter().find(|host| host.id == id).expect("host").address
     }
@@ -452,7 +481,8 @@
         let get = |name: &str| fields.get(name).copied().unwrap_or("");
         let (lane, object, piece) = (get("lane"), get("name"), get("piece"));
         let source = self.hosts.iter().find(|other| other.id == get("src"));
-        let empty = |word: &str, why: &str| format!("{id} {word} why={why} 0\r\n\r\n").into_bytes();
+        let rep = self.report.lock().unwrap().clone();
+        let empty = |word: &str, why: &str| format!("{id} {word} why={why}{rep} 0\r\n\r\n").into_bytes();
         sleep_ms(5);
         if self.passed_on.contains(lane) {
             let runs_here = host.role == Role::Origin || source.is_some_and(|s| s.role != Role::Cache);
@@ -476,7 +506,7 @@
             self.record.line(&format!("origin: has run {lane} {object} of request {id}"));
             let tag = format!("{:016x}", self.serial.fetch_add(1, Ordering::Relaxed));
             let body = b"done";
-            let head = format!("{id} ok etag={tag},made={},why=local {}\r\n", unix_ms(), body.len());
+            let head = format!("{id} ok etag={tag},made={},why=local{rep} {}\r\n", unix_ms(), body.len());
             return [head.as_bytes(), body, b"\r\n"].concat();
         }
         let key = (object.to_string(), piece.to_string());
@@ -523,7 +553,7 @@
         ));
         let word = if get("have") == copy.etag { "current" } else { "ok" };
         let body: &[u8] = if word == "current" { b"" } else { &copy.body };
-        let head = format!("{id} {word} etag={},made={},why={why} {}\r\n", copy.etag, copy.made_ms, body.len());
+        let head = format!("{id} {word} etag={},made={},why={why}{rep} {}\r\n", copy.etag, copy.made_ms, body.len());
         [head.as_bytes(), body, b"\r\n"].concat()
     }
 }
