Review, case 3: load reports in answers, and a new seed at the restart

Cause: the settings say that answers hold load reports, and the stand-ins left them out; the restarted dispatcher had the seed of its first start.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -14,6 +14,7 @@
     let record = stage.record.clone();
     let world = World::start(&record, &HOSTS, &[]);
     world.set_fresh("data-files", FRESH_MS, 0);
+    world.report_in_answers("inflight:2;x1:0.2;x0:0.6");
     let log = ChangeLog::start(first_event(&world));
     let command = stage.run_command();
     record.line(&format!("command: {command}"));
@@ -21,7 +22,8 @@
     let mut second = Dispatcher::new(&stage, "n1", &command);
     for dispatcher in [&mut first, &mut second] {
         let listen = dispatcher.listen.to_string();
-        let text = config(&dispatcher.name, &listen, &log.address.to_string(), &log.known(), 2, FRESH_MS as f64 / 1e3);
+        let changelog = log.address.to_string();
+        let text = config(&dispatcher.name, &listen, &changelog, &log.known(), 2, FRESH_MS as f64 / 1e3, &new_id());
         dispatcher.start(&text);
     }
     sleep_ms(1_500);
@@ -35,7 +37,8 @@
         first.signal(TERM);
         first.wait();
         let listen = first.listen.to_string();
-        let text = config("n0", &listen, &log.address.to_string(), &log.known(), 2, FRESH_MS as f64 / 1e3);
+        let changelog = log.address.to_string();
+        let text = config("n0", &listen, &changelog, &log.known(), 2, FRESH_MS as f64 / 1e3, &new_id());
         first.start(&text);
     }
     // A video that is good until it is purged and that all caches have held for 100 s.
--- a/review/lib/gujarat.rs
+++ b/review/lib/gujarat.rs
@@ -1,8 +1,8 @@
 /// The configuration of a small deployment like gujarat-coast: `data-files` are fresh for a time, without grace;
 /// no probes, no purges.
-pub fn config(name: &str, listen: &str, changelog: &str, known: &str, crew: u32, fresh_s: f64) -> String {
+pub fn config(name: &str, listen: &str, changelog: &str, known: &str, crew: u32, fresh_s: f64, seed: &str) -> String {
     format!(
-        r#"{{"name":"{name}","listen":"{listen}","seed":"51f0c3a977d2be10",
+        r#"{{"name":"{name}","listen":"{listen}","seed":"{seed}",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"changelog":"{changelog}",
 "flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":{known},
 "settings":{{"zone":0,"balancers":{crew},"discovery":"automatic","localities":["west","hub"],
@@ -15,7 +15,7 @@
 "usable_after_s":[0.0,0.0],"pipe_kb_per_s":[0.0,0.0],"purge_done_s":6.0,"notice_time_s":0.3,"sideways":"any",
 "parent_cold_from":0.062,"parent_cold_s":21.0,"parent_breaks_at":2.0}},
 "rules":{{"cold_share":0.16,"cold_s":17.0,"fall_multiple":2.5,"overload_for_s":1.5,"drain_grace_s":0.25}},
-"report":{{"how":"answers","fields":["busy_reqs","x1","x0"]}},
+"report":{{"how":"answers","fields":["inflight","x1","x0"]}},
 "limits":{{"cancel":true,"probing":false,"retry_after":true,"max_retry_after_s":0.5,"max_attempts":6,
 "second_copies":true,"connect_timeout_s":0.4,"streams_per_conn":100,"conn_idle_s":30.0}}}}}}"#
     )
