Overload control: only a request's own attempts settle whether it has run

Callers saw: with storms on, a checkout that must never run twice ran twice. Its client's connection fell silent, the first marked repeat was failed, and the second was sent on while the first try still ran.

Cause: one entry a fingerprint, written by every request of it. The failed repeat was settled like any request (request_settled); as it had no attempt, it turned the first try's entry from in flight to not run.

Ruled out: the silent connection (nothing had expired), the duplicate filter (new ids), the policy's own retries (one attempt a request), entries lost for want of room (three of 20,000).

Change: executions.rs counts the admitted requests in flight until their attempts have ended, and keeps outcomes apart from them. A request that was not admitted settles nothing; "not run" is recorded only where no other request of the fingerprint is in flight, has run or may have been forgotten. An attempt that was served has run also if its client had gone. Same cause, mended with it: rejections in storms, two requests of one fingerprint, entries that expired while in flight.

Routing tests pass.

--- a/crates/routing/src/fleet/overload_control/failed_requests.rs
+++ b/crates/routing/src/fleet/overload_control/failed_requests.rs
@@ -1,5 +1,4 @@
-//! What overload control remembers about requests that clients may retry: attempts used, retry-after, and whether a
-//! request that must not run twice has run.
+//! What overload control remembers about requests that clients may retry: attempts used and retry-after.
 
 use crate::interface::Nanos;
 
@@ -25,16 +24,6 @@
     pub(super) counted_at: Nanos,
 }
 
-/// Whether a request that must not run twice has run.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum Execution {
-    InFlight,
-    /// It may have run: a retry fails.
-    MayHaveRun,
-    /// It did not run: it may be retried.
-    NotRun,
-}
-
 impl FailedRequests {
     /// Whether a retry is expected.
     pub(super) fn expects_retry(&self) -> bool {
--- a/crates/routing/src/fleet/overload_control/mod.rs
+++ b/crates/routing/src/fleet/overload_control/mod.rs
@@ -5,6 +5,7 @@
 //! each call, random numbers from a seed. See docs/storms.md.
 
 mod admission;
+mod executions;
 mod failed_requests;
 
 pub use admission::{Admission, BackendCapacity};
@@ -15,7 +16,8 @@
 use crate::structures::generational_map::GenerationalMap;
 use crate::structures::random::Random;
 use crate::structures::ring_buffer::RingBuffer;
-use failed_requests::{Execution, FailedRequest, FailedRequests};
+use executions::{ExecutionStatus, Executions};
+use failed_requests::{FailedRequest, FailedRequests};
 
 /// Detection counts requests over a sliding window of this length, in `BUCKETS` buckets, evaluated at this interval.
 const DETECTION_WINDOW: Nanos = Nanos(2_000_000_000);
@@ -85,7 +87,7 @@
     /// Failed requests that may be retried, by fingerprint.
     failed: GenerationalMap<FailedRequests>,
     /// Requests that must not run twice, by fingerprint.
-    executions: GenerationalMap<Execution>,
+    executions: Executions,
     random: Random,
     first_request_at: Option<Nanos>,
     evaluated_at: Nanos,
@@ -116,7 +118,7 @@
             types: types.iter().map(type_state).collect(),
             admission: [0, 1].map(admission),
             failed: GenerationalMap::new(settings.remember_for, settings.max_remembered),
-            executions: GenerationalMap::new(settings.remember_for, settings.max_remembered),
+            executions: Executions::new(settings.remember_for, settings.max_remembered),
             random: Random::new(seed.rotate_left(17)),
             first_request_at: None,
             evaluated_at: Nanos::ZERO,
@@ -211,17 +213,18 @@
             priority_level: 0,
             admitted_under_overload: false,
             earlier_attempts: 0,
+            tracks_execution: false,
         };
         if self.types[index].must_not_run_twice() {
             let may_be_retry = request.is_retry || !self.settings.clients_mark_retries;
             // A request from before the start, or one whose entry was dropped early, is unknown: it may have run.
             let is_unknown = now.since(first_request_at) < self.settings.remember_for
-                || self.executions.has_lost_entries(now)
+                || self.executions.has_lost_outcomes(now)
                 || self.settings.unknown_retry_may_have_run;
-            let may_have_run = match self.executions.get(fingerprint) {
-                Some(Execution::InFlight | Execution::MayHaveRun) => may_be_retry,
-                Some(Execution::NotRun) => false,
-                None => request.is_retry && is_unknown,
+            let may_have_run = match self.executions.status(fingerprint) {
+                ExecutionStatus::MayHaveRun => may_be_retry,
+                ExecutionStatus::NotRun => false,
+                ExecutionStatus::Unknown => request.is_retry && is_unknown,
             };
             if may_have_run {
                 return Admission::Fail(reservation);
@@ -274,7 +277,8 @@
             reservation.admitted_under_overload = true;
         }
         if self.types[index].must_not_run_twice() {
-            self.executions.insert(now, fingerprint, Execution::InFlight);
+            self.executions.admitted(fingerprint);
+            reservation.tracks_execution = true;
         }
         Admission::Admit(reservation)
     }
@@ -319,9 +323,9 @@
             }
             return None;
         }
-        if state.must_not_run_twice() {
-            // It is rejected with retry-after only if no attempt has run.
-            self.executions.insert(now, reservation.fingerprint, Execution::NotRun);
+        // A request that was admitted settles when its attempts have ended. One that was not has no attempts.
+        if state.must_not_run_twice() && !reservation.tracks_execution {
+            self.executions.did_not_run(now, reservation.fingerprint);
         }
         if reservation.priority_level == Reservation::EARLY_RETRY_LEVEL {
             let retry_at = self.failed.get(reservation.fingerprint).and_then(FailedRequests::last_retry_at);
@@ -356,12 +360,8 @@
 
     /// All attempts of an answered request have ended: whether it may have run is now final.
     pub fn request_settled(&mut self, now: Nanos, request: &RequestState) {
-        let state = &self.types[request.routing_request.content_type.0 as usize];
-        let fingerprint = request.reservation.fingerprint;
-        if state.must_not_run_twice() && self.executions.get(fingerprint) == Some(&Execution::InFlight) {
-            let may_have_run = request.may_have_run.is_some() || request.stage == Stage::Served;
-            let execution = if may_have_run { Execution::MayHaveRun } else { Execution::NotRun };
-            self.executions.insert(now, fingerprint, execution);
+        if request.reservation.tracks_execution {
+            self.executions.settled(now, request.reservation.fingerprint, request.may_have_run.is_some());
         }
     }
 }
--- a/crates/routing/src/policy/attempt_outcome.rs
+++ b/crates/routing/src/policy/attempt_outcome.rs
@@ -45,7 +45,7 @@
             (filled || (number > 0 && request.missed_at.is_none())) && !missed && end.outcome != Cancelled;
         let succeeded = end.outcome == Served;
         let never_ran = matches!(end.outcome, Refused | Unreachable | NotSent | Missed);
-        if !succeeded && !never_ran && request.may_have_run.is_none() {
+        if !never_ran && request.may_have_run.is_none() {
             request.may_have_run = Some((sent.sent_at, sent.node));
         }
         // An error may be due to the request. It counts against the node only once another node has handled the
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -133,6 +133,8 @@
     pub admitted_under_overload: bool,
     /// Attempts made for the client's earlier tries of the same request.
     pub earlier_attempts: u8,
+    /// Whether overload control tracks its execution: it was admitted, and must not run twice.
+    pub tracks_execution: bool,
 }
 
 impl Reservation {
@@ -157,7 +159,7 @@
     pub missed_at: Option<NodeId>,
     /// The same cache if it is filling the copy for another request: a second lookup follows once that may have ended.
     pub coalesced_at: Option<NodeId>,
-    /// Time and node of the first attempt that may have run.
+    /// Time and node of the first attempt that has run or may have run.
     pub may_have_run: Option<(Nanos, NodeId)>,
     /// The node that last answered with an error, while no other node has handled the request.
     pub erred_at: Option<NodeId>,
--- a/crates/routing/tests/module/main.rs
+++ b/crates/routing/tests/module/main.rs
@@ -7,6 +7,8 @@
 mod common;
 mod connection_back_off;
 mod duplicate_filter;
+mod execution_model;
+mod execution_tracking;
 mod failures;
 mod large_objects;
 mod listed_nodes;
