Event loop: a turn costs a bounded time, whoever sends, and each connection its part

Cause: a turn read every ready client as far as 3.2 MB before it looked at timers. At fault: connections.rs read_client, serve's loop over all ready peers. Ruled out: polls, writes, log lines (0 to 4 ms), the machine (the dispatcher beside it answers within 53 ms), the postponement of timers, which is bounded in time but looked at once a turn.

Change: input_queue.rs reads connections in slices, in turn, each kind for its own time a turn, and keeps since when what is left may be unread; due_timers.rs fires due timers after a bounded wait and a bounded number a turn, and those of the shutdown at once; the last read as the program ends is bounded; a client whose write failed is not read first; the time in the listener's backlog counts (accept_backlog.rs). A slow turn is logged. serve and reduce are split (turn.rs, reading.rs, client_accepted), and the crate keeps the lint on long functions.

--- a/crates/dispatcher/src/effects.rs
+++ b/crates/dispatcher/src/effects.rs
@@ -19,6 +19,28 @@
     ChangeLog(u32),
 }
 
+/// What is at the remote end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PeerKind {
+    /// The change log.
+    ChangeLog,
+    /// A client.
+    Client,
+    /// A node.
+    Node,
+}
+
+impl Peer {
+    /// What is at the remote end.
+    pub fn kind(self) -> PeerKind {
+        match self {
+            Peer::ChangeLog(_) => PeerKind::ChangeLog,
+            Peer::Client(_) => PeerKind::Client,
+            Peer::Node(_) => PeerKind::Node,
+        }
+    }
+}
+
 /// What a timer is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TimerKind {
@@ -44,6 +66,14 @@
     LingerDeadline,
 }
 
+impl TimerKind {
+    /// Whether input that arrived before this timer was due may change what it does. Those of the shutdown keep to the
+    /// time after which the process may be killed, whatever is unread.
+    pub fn waits_for_input(&self) -> bool {
+        !matches!(self, TimerKind::IntakeEnd | TimerKind::DrainDeadline | TimerKind::LingerDeadline)
+    }
+}
+
 /// What has happened.
 #[derive(Debug, Clone, Copy)]
 pub enum Event<'a> {
--- a/crates/dispatcher/src/event_loop/connections.rs
+++ b/crates/dispatcher/src/event_loop/connections.rs
@@ -20,6 +20,8 @@
     pub(super) requested_at: Nanos,
     /// Bytes written in total.
     pub(super) bytes_written: u64,
+    /// A client that has not been read yet: it waited to be accepted at this time or later.
+    pub(super) unaccepted_since: Option<Nanos>,
     /// The sending side is shut down once all output is written.
     pub(super) shutdown_after_output: bool,
 }
@@ -50,6 +52,7 @@
                     output_offset: 0,
                     requested_at: Nanos::ZERO,
                     bytes_written: 0,
+                    unaccepted_since: None,
                     shutdown_after_output: false,
                 };
                 self.connections.insert(peer, connection);
@@ -84,9 +87,9 @@
         self.reduce(Event::Closed(peer));
     }
 
-    /// Reads and writes a connection as it is ready for; returns whether more input may be unread.
-    pub(super) fn ready(&mut self, peer: Peer, readiness: Readiness) -> bool {
-        let Some(connection) = self.connections.get_mut(&peer) else { return false };
+    /// Handles what a connection is ready for, and queues it if it has input.
+    pub(super) fn ready(&mut self, peer: Peer, readiness: Readiness) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
         if connection.connecting {
             match connection.stream.take_error() {
                 Ok(None) => {
@@ -109,7 +112,7 @@
                     self.reduce(Event::ConnectFailedLocally(peer));
                 }
             }
-            return false;
+            return;
         }
         // Input of this client is no longer wanted: only its end is reported, and earlier input stays unread.
         if matches!(peer, Peer::Client(_)) && !connection.wants_input {
@@ -119,78 +122,22 @@
                 false if readiness.writable => self.flush(peer),
                 false => {}
             }
-            return false;
+            return;
         }
         if readiness.writable {
             self.flush(peer);
         }
-        let reads = readiness.readable || readiness.error;
-        match peer {
-            // A request may be followed by its abort or by the end of stream. If that is read in the same turn, the
-            // request's attempt is not written yet and is dropped.
-            Peer::Client(_) => reads && self.read_client(peer),
-            _ => reads && self.read(peer) > 0,
+        if readiness.readable || readiness.error {
+            self.queue_input(peer);
         }
     }
 
-    /// Reads a client until no more input is there, or up to the limits for one turn; returns whether more may be
-    /// unread.
-    fn read_client(&mut self, peer: Peer) -> bool {
-        let mut bytes = 0;
-        for _ in 0..MAX_CLIENT_READS_PER_TURN {
-            match self.read(peer) {
-                0 => return false,
-                count => bytes += count,
-            }
-            if bytes > MAX_CLIENT_BYTES_PER_TURN {
-                break;
-            }
-        }
-        true
-    }
-
-    /// Reads a connection once; returns the number of bytes. Further input is reported by the next poll.
-    pub(super) fn read(&mut self, peer: Peer) -> usize {
-        let Some(connection) = self.connections.get_mut(&peer) else { return 0 };
-        let mut buffer = std::mem::take(&mut self.read_buffer);
-        // The buffer is missing when `connect` reads idle clients from within another read.
-        buffer.resize(READ_BUFFER_BYTES, 0);
-        let received = match connection.read(&mut buffer) {
-            // The client may still read the answers to its requests.
-            Ok(0) if matches!(peer, Peer::Client(_)) => {
-                self.reduce(Event::EndOfStream(peer));
-                0
-            }
-            Ok(0) => {
-                self.close_and_report(peer);
-                0
-            }
-            Ok(count) => {
-                if matches!(peer, Peer::Client(_)) {
-                    self.report_input_delay();
-                }
-                self.reduce(Event::Received(peer, &buffer[..count]));
-                count
-            }
-            Err(fault) => {
-                match classify_transfer_error(&fault) {
-                    TransferError::NotReady => {}
-                    TransferError::Interrupted | TransferError::OutOfMemory => self.retry_later(&fault),
-                    TransferError::Broken => self.close_and_report(peer),
-                }
-                0
-            }
-        };
-        self.read_buffer = buffer;
-        received
-    }
-
-    /// Reports to the reducer how long the input that is read now may have been unread, if that has changed.
-    fn report_input_delay(&mut self) {
-        let delay = self.freshness.input_delay(self.clock.now());
-        if std::mem::replace(&mut self.input_delay, delay) != delay {
-            self.reduce(Event::InputDelay(delay));
-        }
+    /// Queues a connection that has input.
+    fn queue_input(&mut self, peer: Peer) {
+        let Some(connection) = self.connections.get_mut(&peer) else { return };
+        let found_since = self.freshness.unread_since();
+        let unread_since = connection.unaccepted_since.take().map_or(found_since, |at| at.min(found_since));
+        self.unread.queue(peer.kind()).push(peer, unread_since);
     }
 
     /// A read or write has failed for a local reason or was interrupted too often. It is tried again in the next turn,
@@ -202,50 +149,8 @@
         }
         self.needs_pause = true;
     }
-
-    /// A write has failed. What the other side had sent before is read first: if an answer in it counted as broken off,
-    /// its request might run twice.
-    pub(super) fn write_failed(&mut self, peer: Peer) {
-        let is_readable = |c: &Connection| c.wants_input || !matches!(peer, Peer::Client(_));
-        for _ in 0..MAX_FINAL_READS {
-            if !self.connections.get(&peer).is_some_and(is_readable) || self.read(peer) == 0 {
-                break;
-            }
-        }
-        if self.connections.contains_key(&peer) {
-            self.close_and_report(peer);
-        }
-    }
-
-    /// The final read as the program ends: accepts the waiting clients, closes the listener, and reads all that clients
-    /// have sent by now.
-    pub(super) fn read_final_input(&mut self) {
-        if let Some(listener) = self.listener.take() {
-            self.accept(&listener, BACKLOG as usize);
-            self.handle.remove(self.listener_token);
-        }
-        let readable = self.connections.iter().filter(|(_, connection)| connection.wants_input);
-        let mut clients: Vec<_> =
-            readable.map(|(peer, _)| *peer).filter(|peer| matches!(peer, Peer::Client(_))).collect();
-        clients.sort();
-        for peer in clients {
-            let mut reads = 0;
-            while reads < MAX_FINAL_READS && self.read(peer) > 0 {
-                reads += 1;
-            }
-        }
-        self.reduce(Event::FinalReadDone);
-    }
 }
 
-/// Limit on bytes read from a client in one turn: 32 requests of 48 KB, the most that may be open on a connection, and
-/// as much again for what follows them, so that no attempt is sent for a client whose abort or end of stream has
-/// arrived.
-const MAX_CLIENT_BYTES_PER_TURN: usize = 2 * 32 * 50_000;
-/// Limit on reads of a client in one turn, against a client that sends small pieces without end.
-const MAX_CLIENT_READS_PER_TURN: u32 = 256;
-/// Limit on reads of a connection that has failed, and on final reads, against a peer that sends without end.
-const MAX_FINAL_READS: usize = 16;
 /// Limit on immediate retries of a call that signals interrupt.
 pub(super) const MAX_INTERRUPTED_RETRIES: u32 = 8;
 
@@ -263,7 +168,7 @@
     }
 
     /// Reads once, and again after an interrupt.
-    fn read(&self, to: &mut [u8]) -> io::Result<usize> {
+    pub(super) fn read(&self, to: &mut [u8]) -> io::Result<usize> {
         let mut interrupted = 0;
         loop {
             match (&*self.stream).read(to) {
--- a/crates/dispatcher/src/event_loop/mod.rs
+++ b/crates/dispatcher/src/event_loop/mod.rs
@@ -1,11 +1,14 @@
 //! The event loop. It turns what happens to sockets, timers, signals and files into events for the reducer, and
 //! executes the effects that the reducer returns. `main` calls [`serve`], which returns when the program ends.
 
+use crate::accept_backlog::AcceptBacklog;
 use crate::clock::Clock;
 use crate::config::{Config, ConfigFiles};
 use crate::deadlines::Deadlines;
+use crate::due_timers::DueTimers;
 use crate::effects::{Effect, Event, Peer, TimerKind, TrailingInput};
-use crate::freshness::{Freshness, TimerPostponement};
+use crate::freshness::Freshness;
+use crate::input_queue::{CLIENT_LIMITS, MAX_SLICE_BYTES, UnreadInputs};
 use crate::logs::{self, LogRateLimiter};
 use crate::purge_coverage::covers_purges_after;
 use crate::reducer::Reducer;
@@ -31,24 +34,20 @@
 
 mod connections;
 mod opening;
+mod reading;
 mod startup;
+mod turn;
 mod writing;
 
 use connections::Connection;
-use startup::{listen, load_snapshot, modified_at, open_disk};
+use startup::{listen, load_snapshot, open_disk};
 
-/// Size of the read buffer: the bytes taken by one read of a connection, so that none delays the others.
-const READ_BUFFER_BYTES: usize = 256 * 1024;
-/// Limit on connections that wait to be accepted (the backlog of `listen`).
+/// Limit on connections that wait to be accepted (the backlog of `listen`); the kernel lets one more wait.
 const BACKLOG: i32 = 1024;
 /// Limit on connections accepted in one turn of the loop.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
-/// Interval at which the operator's file is checked for changes, if it may bring rule versions.
-const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause of accepting after `accept` has failed, as it does without a free descriptor.
 const ACCEPT_PAUSE: Nanos = Nanos(20_000_000);
-/// Pause of the whole loop after a call has failed for a local reason, so that the loop does not spin on the failure.
-const ERROR_PAUSE: Duration = Duration::from_millis(1);
 
 type Source = calloop::Dispatcher<'static, Generic<Rc<TcpStream>>, Inbox>;
 
@@ -102,7 +101,9 @@
     listener_token: RegistrationToken,
     /// Accepting is paused until then.
     accept_paused_until: Option<Nanos>,
-    /// The loop must pause for [`ERROR_PAUSE`] after this turn.
+    /// Clients that wait to be accepted.
+    backlog: AcceptBacklog,
+    /// The loop must pause after this turn, as a call has failed for a local reason.
     needs_pause: bool,
     /// Effects that are not executed yet, in order; executing one may add more.
     effects: VecDeque<Effect>,
@@ -110,6 +111,9 @@
     executing: bool,
     /// Timers that the reducer has armed and that are not due yet.
     deadlines: Deadlines<TimerKind>,
+    due_timers: DueTimers<TimerKind>,
+    /// Connections that may have input.
+    unread: UnreadInputs,
     /// Connections with new output.
     has_output: Vec<Peer>,
     /// Connections to nodes that are not written to until the clients' sockets have been polled again.
@@ -180,16 +184,19 @@
         listener: Some(listener),
         listener_token: listening,
         accept_paused_until: None,
+        backlog: AcceptBacklog::new(BACKLOG as u64 + 1),
         needs_pause: false,
         effects: VecDeque::new(),
         executing: false,
         deadlines: Deadlines::default(),
+        due_timers: DueTimers::default(),
+        unread: UnreadInputs::default(),
         has_output: Vec::new(),
         awaiting_poll: Vec::new(),
         freshness: Freshness::new(clock.now()),
         requested_at: Nanos::ZERO,
         input_delay: Nanos::ZERO,
-        read_buffer: vec![0; READ_BUFFER_BYTES],
+        read_buffer: vec![0; MAX_SLICE_BYTES],
         wants_final_read: false,
         last_client: 0,
         log_limiter: LogRateLimiter::default(),
@@ -197,86 +204,16 @@
         disk: None,
         snapshot_writer,
     };
-    let mut inbox = Inbox::default();
-    let (mut due, mut postponement) = (Vec::new(), TimerPostponement::default());
-    if let Some((location, disk)) = disk {
-        let (sender, messages) = channel();
-        driver
-            .handle
-            .insert_source(messages, |event, _, inbox| {
-                if let calloop::channel::Event::Msg(message) = event {
-                    inbox.disk.push(message);
-                }
-            })
-            .map_err(|fault| context("disk")(fault.error))?;
-        let opened = disk.as_ref().ok().map(|disk| (disk.prints(), disk.seq()));
-        driver.disk = Some(Worker::start_at(location, disk, DiskSender(sender)));
-        if let Some((fingerprints, marked_seq)) = opened {
-            driver.reduce(Event::DiskReady(&fingerprints, marked_seq));
-        }
+    if let Some(disk) = disk {
+        driver.start_disk(disk).map_err(context("disk"))?;
     }
     if let Some(path) = sources.operator.clone().filter(|_| has_rule_versions) {
-        let mut last_modified = modified_at(&path);
-        let watch = Timer::from_duration(FILE_CHECK_INTERVAL);
-        let inserted = driver.handle.insert_source(watch, move |_, _, inbox| {
-            let modified = modified_at(&path);
-            inbox.reload |= std::mem::replace(&mut last_modified, modified) != modified;
-            TimeoutAction::ToDuration(FILE_CHECK_INTERVAL)
-        });
-        inserted.map_err(|fault| context("timer")(fault.error))?;
+        driver.watch_operator_file(path).map_err(context("timer"))?;
     }
     driver.reduce(Event::Started);
+    let mut inbox = Inbox::default();
     while !driver.stopped {
-        driver.flush_all();
-        // With postponed timers or output the loop polls without waiting.
-        let poll_started = driver.clock.now();
-        let polls_at_once = postponement.is_active() || !driver.has_output.is_empty();
-        let wait =
-            if polls_at_once { Some(Duration::ZERO) } else { driver.time_to_first_deadline(poll_started) };
-        let dispatched = event_loop.dispatch(wait, &mut inbox);
-        let poll_ended = driver.clock.now();
-        match dispatched {
-            Ok(()) => driver.freshness.polled(poll_started, wait, poll_ended),
-            // What was found before the failure is in the inbox; the rest is reported by the next poll.
-            Err(fault) => {
-                driver.log_limiter.warn(poll_ended, format_args!("event loop: {fault}"));
-                driver.needs_pause = true;
-            }
-        }
-        // Timers that become due while this turn reads are left for the next turn, after it has read its input.
-        driver.deadlines.take_due(poll_ended, &mut due);
-        if std::mem::take(&mut inbox.terminate) {
-            driver.reduce(Event::Terminate);
-        }
-        if std::mem::take(&mut inbox.reload) {
-            driver.reload(sources);
-        }
-        // Input is read before timers fire: after the machine has stopped the program, every timer seems overdue
-        // although the input may have come in time. The change log is read first (drains, purges), then clients
-        // (aborts, closed connections), then nodes, so that an answer leads neither to an attempt for a client that
-        // has gone nor to one at a node that drains. Reads of a connection are limited per turn; timers wait while more
-        // input may be unread.
-        let mut ready = std::mem::take(&mut inbox.ready);
-        ready.sort_by_key(|(peer, _)| match peer {
-            Peer::ChangeLog(_) => 0,
-            Peer::Client(_) => 1,
-            Peer::Node(_) => 2,
-        });
-        let mut may_have_more = false;
-        for (peer, readiness) in ready {
-            may_have_more |= driver.ready(peer, readiness);
-        }
-        std::mem::take(&mut inbox.disk).into_iter().for_each(|message| driver.disk_reported(message));
-        if !postponement.postpone(poll_ended, may_have_more && !due.is_empty()) {
-            due.drain(..).for_each(|timer| driver.reduce(Event::TimerFired(timer)));
-        }
-        driver.accept_clients(std::mem::take(&mut inbox.accept));
-        if std::mem::take(&mut driver.wants_final_read) {
-            driver.read_final_input();
-        }
-        if std::mem::take(&mut driver.needs_pause) {
-            std::thread::sleep(ERROR_PAUSE);
-        }
+        driver.turn(&mut event_loop, &mut inbox, sources);
     }
     driver.flush_all();
     if let Some(disk) = driver.disk.take() {
@@ -290,13 +227,6 @@
 }
 
 impl Driver {
-    /// How long the loop may wait for the first deadline; `None` if there is none. Exact to the nanosecond, as a wait
-    /// that ended too early would only be followed by another.
-    fn time_to_first_deadline(&self, now: Nanos) -> Option<Duration> {
-        let first = self.deadlines.first().into_iter().chain(self.accept_paused_until).min()?;
-        Some(Duration::from_nanos(first.since(now).0))
-    }
-
     /// Arms a timer. Once there are many, those of requests that have ended are removed.
     fn arm(&mut self, at: Nanos, timer: TimerKind) {
         self.deadlines.arm(at, timer);
@@ -320,20 +250,6 @@
         self.executing = false;
     }
 
-    fn disk_reported(&mut self, message: DiskMessage) {
-        match message {
-            DiskMessage::Read(ticket, copy) => {
-                let copy = copy.as_ref().map(|(facts, body)| (*facts, body.as_slice()));
-                self.reduce(Event::CopyRead(ticket, copy));
-            }
-            DiskMessage::Off => self.reduce(Event::DiskOff),
-            DiskMessage::Ready(opened) => {
-                self.disk.iter_mut().for_each(|disk| disk.resume(opened));
-                self.reduce(Event::DiskReady(&[], 0));
-            }
-        }
-    }
-
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::Connect(peer, address) => self.connect(peer, address),
--- a/crates/dispatcher/src/event_loop/opening.rs
+++ b/crates/dispatcher/src/event_loop/opening.rs
@@ -15,12 +15,16 @@
             self.accept_paused_until = None;
             return;
         };
+        let is_paused = self.accept_paused_until.is_some();
         if self.accept_paused_until.take_if(|until| *until <= now).is_some()
             && let Err(fault) = self.handle.enable(&self.listener_token)
         {
             self.log_limiter.warn(now, format_args!("listener: cannot resume accepting: {fault}"));
             self.accept_paused_until = Some(now.after(ACCEPT_PAUSE));
         }
+        if !waits && !is_paused {
+            self.backlog.drained();
+        }
         if waits && self.accept_paused_until.is_none() && !self.accept(&listener, MAX_ACCEPTS_PER_TURN) {
             match self.handle.disable(&self.listener_token) {
                 Ok(()) => self.accept_paused_until = Some(now.after(ACCEPT_PAUSE)),
@@ -35,13 +39,16 @@
     /// Accepts up to `limit` clients; returns whether accepting may continue without a pause.
     pub(super) fn accept(&mut self, listener: &TcpListener, limit: usize) -> bool {
         let mut may_continue = true;
+        self.backlog.turn_began(self.clock.now(), self.freshness.unread_since());
         for _ in 0..limit {
             let fault = match listener.accept() {
                 Ok((stream, from)) => {
                     may_continue = true;
                     self.last_client += 1;
                     let peer = Peer::Client(self.last_client);
+                    let came_at = self.backlog.accepted(self.clock.now());
                     if self.insert(peer, stream, false) {
+                        self.set_unaccepted_since(peer, came_at);
                         self.reduce(Event::Accepted(self.last_client, from.ip()));
                     }
                     continue;
@@ -49,7 +56,10 @@
                 Err(fault) => fault,
             };
             match classify_accept_error(&fault) {
-                AcceptError::NoneWaiting => return true,
+                AcceptError::NoneWaiting => {
+                    self.backlog.drained();
+                    return true;
+                }
                 // After nothing but errors accepting is paused, so that the loop does not spin on them.
                 AcceptError::ConnectionFailed => {
                     self.log_limiter.warn(self.clock.now(), format_args!("accept: {fault}"));
@@ -70,6 +80,13 @@
         may_continue
     }
 
+    /// The first input of a client may have arrived while it waited to be accepted.
+    fn set_unaccepted_since(&mut self, peer: Peer, came_at: Nanos) {
+        if let Some(connection) = self.connections.get_mut(&peer) {
+            connection.unaccepted_since = Some(came_at);
+        }
+    }
+
     /// Begins to connect. A failure is reported to the reducer, as a closed connection if the other side is
     /// unreachable.
     pub(super) fn connect(&mut self, peer: Peer, address: SocketAddr) {
@@ -114,12 +131,4 @@
             }
         }
     }
-
-    /// Reads the idle clients that would be closed to free descriptors. One that has sent a request meanwhile is no
-    /// longer idle and stays open.
-    fn read_idle_clients(&mut self) {
-        for number in self.reducer.idle_clients(self.clock.now()) {
-            self.read(Peer::Client(number));
-        }
-    }
 }
--- a/crates/dispatcher/src/event_loop/startup.rs
+++ b/crates/dispatcher/src/event_loop/startup.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 use crate::external_time::ExternalTime;
+use std::path::PathBuf;
+
+/// Interval at which the operator's file is checked for changes, if it may bring rule versions.
+const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Opens the listener. The address can be reused at once after another process, and the backlog takes a burst of new
 /// connections.
@@ -82,6 +86,36 @@
 }
 
 /// When a file was last modified; `None` if it is missing.
-pub(super) fn modified_at(path: &Path) -> Option<SystemTime> {
+fn modified_at(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
+
+impl Driver {
+    /// Starts the thread of the disk tier.
+    pub(super) fn start_disk(&mut self, (location, disk): OpenedDisk) -> calloop::Result<()> {
+        let (sender, messages) = channel();
+        self.handle.insert_source(messages, |event, _, inbox| {
+            if let calloop::channel::Event::Msg(message) = event {
+                inbox.disk.push(message);
+            }
+        })?;
+        let opened = disk.as_ref().ok().map(|disk| (disk.prints(), disk.seq()));
+        self.disk = Some(Worker::start_at(location, disk, DiskSender(sender)));
+        if let Some((fingerprints, marked_seq)) = opened {
+            self.reduce(Event::DiskReady(&fingerprints, marked_seq));
+        }
+        Ok(())
+    }
+
+    /// Has the configuration read again whenever the operator's file changes.
+    pub(super) fn watch_operator_file(&mut self, path: PathBuf) -> calloop::Result<()> {
+        let mut last_modified = modified_at(&path);
+        let watch = Timer::from_duration(FILE_CHECK_INTERVAL);
+        self.handle.insert_source(watch, move |_, _, inbox| {
+            let modified = modified_at(&path);
+            inbox.reload |= std::mem::replace(&mut last_modified, modified) != modified;
+            TimeoutAction::ToDuration(FILE_CHECK_INTERVAL)
+        })?;
+        Ok(())
+    }
+}
--- a/crates/dispatcher/src/event_loop/writing.rs
+++ b/crates/dispatcher/src/event_loop/writing.rs
@@ -69,11 +69,12 @@
         connection.is_some_and(|c| !c.connecting && (!c.output.is_empty() || c.shutdown_after_output))
     }
 
-    /// Whether output to a node may be written now. If the clients' sockets were polled too long ago, they are polled
-    /// first, as clients may have gone. Output that was encoded too long ago is encoded again.
+    /// Whether output to a node may be written now. If the clients' sockets were polled too long ago, or were not read to
+    /// their end, another turn comes first, as clients may have gone. Output that was encoded too long ago is encoded again.
     fn may_write_now(&mut self, peer: Peer) -> bool {
         let now = self.clock.now();
-        if self.freshness.needs_poll(now) {
+        let may_be_unread = self.unread.has_client_input() && self.freshness.may_hold_output();
+        if may_be_unread || self.freshness.needs_poll(now) {
             self.awaiting_poll.push(peer);
             return false;
         }
--- a/crates/dispatcher/src/freshness.rs
+++ b/crates/dispatcher/src/freshness.rs
@@ -89,7 +89,12 @@
     /// Whether sockets must be polled again before anything leaves for a node. Call it once for each
     /// connection; after [`MAX_CONSECUTIVE_POLLS`] it returns false.
     pub fn needs_poll(&self, now: Nanos) -> bool {
-        now.since(self.poll_began) > STALE_AFTER && self.consecutive_polls < MAX_CONSECUTIVE_POLLS
+        now.since(self.poll_began) > STALE_AFTER && self.may_hold_output()
+    }
+
+    /// Whether output to nodes may be held back for another turn.
+    pub fn may_hold_output(&self) -> bool {
+        self.consecutive_polls < MAX_CONSECUTIVE_POLLS
     }
 
     /// Counts a turn that ended with output held back for a poll, or without.
@@ -97,9 +102,20 @@
         self.consecutive_polls = if held_back { self.consecutive_polls + 1 } else { 0 };
     }
 
-    /// How long input that is read now may have lain unread; 0 if that is short enough to ignore.
+    /// Input of connections that the last poll has found, and that had none before, arrived at this time or later.
+    pub fn unread_since(&self) -> Nanos {
+        self.unread_since
+    }
+
+    /// How long such input may have lain unread if it is read now; 0 if that is short enough to ignore.
     pub fn input_delay(&self, now: Nanos) -> Nanos {
-        let span = now.since(self.unread_since);
+        Self::delay_of(self.unread_since, now)
+    }
+
+    /// How long input that arrived at `unread_since` or later may have lain unread if it is read now; 0 if that is
+    /// short enough to ignore.
+    pub fn delay_of(unread_since: Nanos, now: Nanos) -> Nanos {
+        let span = now.since(unread_since);
         if span > PROMPT_READ_LIMIT { span } else { Nanos::ZERO }
     }
 
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -2,9 +2,7 @@
 //! reducer ([`reducer`]) makes every state change and calls the routing policy, and the event loop carries
 //! out the effects that the reducer returns.
 
-// `event_loop::serve` is still one long function.
-#![allow(clippy::too_many_lines)]
-
+pub mod accept_backlog;
 pub mod agreed;
 pub mod attempt;
 pub mod changes;
@@ -12,10 +10,12 @@
 pub mod clock;
 pub mod config;
 pub mod deadlines;
+pub mod due_timers;
 pub mod effects;
 pub mod event_loop;
 pub mod external_time;
 pub mod freshness;
+pub mod input_queue;
 pub mod lingering;
 pub mod local_cache;
 pub mod logs;
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -3,6 +3,26 @@
 use super::*;
 
 impl Reducer {
+    /// A client has connected. Idle ones are closed to make room, and the new one too if that is not enough.
+    pub(super) fn client_accepted(&mut self, now: Nanos, number: u32, from: IpAddr) {
+        log::debug!(target: "copperroute::trace", "client {number} from {from}");
+        self.request_table.clients.accept(number, from, now);
+        if self.request_table.clients.count() > self.idle_close_threshold() {
+            self.request_table.clients.close_idle(
+                IDLE_CLOSE_BATCH,
+                Some(number),
+                now,
+                &mut self.request_table.effects,
+            );
+        }
+        // The change log and the nodes need descriptors, however many clients connect.
+        self.request_table.clients.limit_lingering(self.max_clients(), &mut self.request_table.effects);
+        if self.request_table.clients.count() > self.max_clients() {
+            self.client_warnings.warn(now, format_args!("client {number}: too many connections, closed"));
+            self.close_client(now, number);
+        }
+    }
+
     pub(super) fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
         let Some(client) = self.request_table.clients.get_mut(number) else {
             if self.request_table.clients.lingering.received(number, bytes.len()) {
--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -31,6 +31,7 @@
 use copperroute_routing::policy::Dispatcher;
 use copperroute_settings::name_index;
 use std::collections::HashMap;
+use std::net::IpAddr;
 
 mod change_log_events;
 mod clients;
@@ -201,27 +202,7 @@
         self.refresh_rules(now);
         match event {
             Event::Started => self.start(now),
-            Event::Accepted(number, from) => {
-                log::debug!(target: "copperroute::trace", "client {number} from {from}");
-                self.request_table.clients.accept(number, from, now);
-                if self.request_table.clients.count() > self.idle_close_threshold() {
-                    self.request_table.clients.close_idle(
-                        IDLE_CLOSE_BATCH,
-                        Some(number),
-                        now,
-                        &mut self.request_table.effects,
-                    );
-                }
-                // The change log and the nodes need descriptors, however many clients connect.
-                self.request_table
-                    .clients
-                    .limit_lingering(self.max_clients(), &mut self.request_table.effects);
-                if self.request_table.clients.count() > self.max_clients() {
-                    self.client_warnings
-                        .warn(now, format_args!("client {number}: too many connections, closed"));
-                    self.close_client(now, number);
-                }
-            }
+            Event::Accepted(number, from) => self.client_accepted(now, number, from),
             Event::Connected(Peer::Node(number)) => self.request_table.node_connected(number),
             Event::Connected(Peer::ChangeLog(number)) => self.change_log_connected(now, number),
             Event::Received(Peer::Client(number), bytes) => self.client_received(now, number, bytes),
--- a/crates/dispatcher/tests/dispatcher/main.rs
+++ b/crates/dispatcher/tests/dispatcher/main.rs
@@ -1,5 +1,6 @@
 //! The reducer by hand, and the program on loopback sockets.
 
+mod accept_backlog;
 mod agreed;
 mod attempts;
 mod broken_connections;
@@ -13,6 +14,7 @@
 mod crossings_full;
 mod deadlines;
 mod driver;
+mod due_timers;
 mod ending;
 #[path = "../../../cache-store/tests/faulty/mod.rs"]
 mod faulty;
@@ -25,6 +27,7 @@
 mod gone_sockets;
 mod growth;
 mod heartbeat_forms;
+mod input_queue;
 mod last_list;
 mod last_list_clocks;
 mod life;
