Own copies: their age is bounded by copies the origin gave out, not by times heard

Callers saw: a dispatcher that had been restarted served data files from its own memory up to 11.4 s after they were made; 8 s are allowed.

Cause: external_time.rs, latest_ms. A time heard in `made` bounds the present from below only. Ten seconds after the first answer it was used, with 1 s more, as the bound from above, and the machine's clock, which was right, was left aside. After the restart only copies of 4.6 s and older had been heard, so the present was 3.6 s late. With a clock that is behind the same happened from the first answer on.

Ruled out: the restart itself, the settings, the caches (each gave only copies under 8 s), the clock.

Change: a copy that the origin gave out for one of our requests was made after the request was ordered; that bounds the present from above by the monotonic clock alone. Without such a copy, or where what was heard contradicts it, own copies that are fresh for a time are not served. Where answers do not tell the source, the local clock decides. The old clamp stays only for the date of the saved list, where early is the safe side.

--- a/crates/dispatcher/src/event_loop/startup.rs
+++ b/crates/dispatcher/src/event_loop/startup.rs
@@ -70,7 +70,7 @@
     // says.
     let mut external_time = ExternalTime::new(clock.epoch());
     config.known.results.iter().for_each(|change| external_time.observe_event(clock.now(), change));
-    let unix_ms = external_time.latest_ms(clock.now());
+    let unix_ms = external_time.latest_by_local_clock_ms(clock.now());
     match snapshot_writer::load(&settings.folder, unix_ms, config.fingerprint(), max_age_ms, config.known.seq)
     {
         Ok(Some((known, age_ms))) => {
--- a/crates/dispatcher/src/local_cache.rs
+++ b/crates/dispatcher/src/local_cache.rs
@@ -62,6 +62,17 @@
     NotModified,
 }
 
+/// Whether a copy may be served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Usability {
+    /// It is fresh, and no purge forbids it.
+    Usable,
+    /// Nothing bounds its age.
+    AgeUnknown,
+    /// It is too old, or a purge forbids it.
+    Unusable,
+}
+
 /// The local cache: copies in memory, fingerprints of those on disk, and recent purges.
 #[derive(Debug)]
 pub struct LocalCache {
@@ -120,11 +131,12 @@
             .is_some_and(|settings| !settings.uncacheable && settings.retry_safety == RetrySafety::Retriable)
     }
 
-    /// Answers a request from memory, if there is a usable copy and the link can carry it within `target`.
+    /// Answers a request from memory, if there is a usable copy and the link can carry it within `target`. `unix_ms` is
+    /// an upper bound of the external time, if there is one.
     pub fn lookup(
         &mut self,
         now: Nanos,
-        unix_ms: u64,
+        unix_ms: Option<u64>,
         key: &Key,
         cached_tag: Option<Hex>,
         target: Nanos,
@@ -133,19 +145,31 @@
             return None;
         }
         let (facts, body) = self.memory.get(key, 1)?;
-        if !self.may_be_served(unix_ms, key, &facts) {
-            self.memory.remove(key);
-            return None;
+        match self.usability(unix_ms, key, &facts) {
+            Usability::Usable => self.answer_if_affordable(now, facts, body, cached_tag, target),
+            Usability::AgeUnknown => None,
+            Usability::Unusable => {
+                self.memory.remove(key);
+                None
+            }
         }
-        self.answer_if_affordable(now, facts, body, cached_tag, target)
     }
 
     /// Whether a copy is fresh and no purge forbids it.
-    fn may_be_served(&self, unix_ms: u64, key: &Key, facts: &Facts) -> bool {
-        let fresh_for =
-            self.content_types.get(usize::from(key.content_type)).and_then(|settings| settings.fresh_for);
-        may_serve(unix_ms, facts.made_ms, fresh_for, Nanos::ZERO)
-            && !self.purges.forbid(&key.object, facts.group, facts.made_ms)
+    fn usability(&self, unix_ms: Option<u64>, key: &Key, facts: &Facts) -> Usability {
+        if self.purges.forbid(&key.object, facts.group, facts.made_ms) {
+            return Usability::Unusable;
+        }
+        let settings = self.content_types.get(usize::from(key.content_type));
+        let Some(fresh_for) = settings.and_then(|settings| settings.fresh_for) else {
+            return Usability::Usable;
+        };
+        let is_fresh = |unix_ms| may_serve(unix_ms, facts.made_ms, Some(fresh_for), Nanos::ZERO);
+        match unix_ms.map(is_fresh) {
+            None => Usability::AgeUnknown,
+            Some(true) => Usability::Usable,
+            Some(false) => Usability::Unusable,
+        }
     }
 
     fn answer_if_affordable(
@@ -198,16 +222,16 @@
     pub fn disk_read(
         &mut self,
         [now, target]: [Nanos; 2],
-        unix_ms: u64,
+        unix_ms: Option<u64>,
         key: &Key,
         cached_tag: Option<Hex>,
         copy: Option<(Facts, &[u8])>,
     ) -> Option<LocalAnswer> {
-        let usable = copy.filter(|(facts, _)| self.may_be_served(unix_ms, key, facts));
-        let Some((facts, body)) = usable else {
+        let usability = copy.map_or(Usability::Unusable, |(facts, _)| self.usability(unix_ms, key, &facts));
+        if usability == Usability::Unusable {
             self.disk_fingerprints.remove(&key.print());
-            return None;
-        };
+        }
+        let (facts, body) = copy.filter(|_| usability == Usability::Usable)?;
         self.answer_if_affordable(now, facts, body.into(), cached_tag, target)
     }
 
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -206,7 +206,8 @@
         let cache = self.local_cache.as_ref().filter(|_| !self.routing.may_miss_purges(now))?;
         let content_type = self.settings.content_types.get(routing_request.content_type.0 as usize)?;
         // After a restart the local wall clock alone can't tell how old the copies on disk are.
-        if content_type.fresh_for.is_some() && !self.external_time.has_copy_time() {
+        let is_age_known = self.external_time.has_copy_time() && self.latest_unix_ms(now).is_some();
+        if content_type.fresh_for.is_some() && !is_age_known {
             return None;
         }
         let (object, part, _) = self.request_table.requested_copy(routing_request.request_id)?;
@@ -216,6 +217,10 @@
     /// The disk has answered: the request is answered from the copy, or continues as if there were no disk.
     pub(super) fn copy_read(&mut self, now: Nanos, ticket: u64, copy: Option<(Facts, &[u8])>) {
         let request_id = RequestId((ticket >> 32) as u32);
+        if let Some((facts, _)) = copy {
+            self.external_time.observe_restored_copy(now, facts.made_ms);
+        }
+        let unix_ms = self.latest_unix_ms(now);
         let pending = self
             .disk_reads
             .get(&request_id.0)
@@ -231,10 +236,7 @@
         let target = self.settings.content_types[routing_request.content_type.0 as usize].latency_target;
         let cached_tag =
             self.request_table.requested_copy(request_id).and_then(|(_, _, cached_tag)| cached_tag);
-        if let Some((facts, _)) = copy {
-            self.external_time.observe_restored_copy(now, facts.made_ms);
-        }
-        let answer = cache.disk_read([now, target], self.external_time.latest_ms(now), key, cached_tag, copy);
+        let answer = cache.disk_read([now, target], unix_ms, key, cached_tag, copy);
         let Some(answer) = answer else { return self.continue_without_disk(now, request_id) };
         let (routing_request, key) = (*routing_request, *key);
         self.disk_reads.remove(&request_id.0);
@@ -271,6 +273,7 @@
         routing_request: &RoutingRequest,
         request_id: RequestId,
     ) -> Option<LocalAnswer> {
+        let unix_ms = self.latest_unix_ms(now);
         let cache = self.local_cache.as_mut()?;
         // A purge that was missed might be of any copy.
         if self.routing.may_miss_purges(now) {
@@ -280,7 +283,16 @@
         let (object, part, cached_tag) = self.request_table.requested_copy(request_id)?;
         let key = local_cache::key(routing_request.content_type.0, object, part)?;
         let target = self.settings.content_types[routing_request.content_type.0 as usize].latency_target;
-        cache.lookup(now, self.external_time.latest_ms(now), &key, cached_tag, target)
+        cache.lookup(now, unix_ms, &key, cached_tag, target)
+    }
+
+    /// Upper bound of the external time, by which the age of own copies is judged; `None` while there is none. Where
+    /// answers do not tell that the origin was asked, only the local clock can say.
+    fn latest_unix_ms(&self, now: Nanos) -> Option<u64> {
+        match self.settings.fill_source_reported {
+            true => self.external_time.latest_ms(now),
+            false => Some(self.external_time.latest_by_local_clock_ms(now)),
+        }
     }
 
     pub(super) fn abandon(&mut self, now: Nanos, request_id: RequestId) {
--- a/crates/dispatcher/src/reducer/routing_notifications.rs
+++ b/crates/dispatcher/src/reducer/routing_notifications.rs
@@ -14,8 +14,11 @@
     /// Tells the routing policy of ended attempts one by one, as its reaction may end more. Also passes on
     /// probe answers and refusing nodes, and offers received copies to the local cache.
     pub(super) fn report_attempt_ends(&mut self, now: Nanos) {
-        if let Some(made_ms) = self.request_table.latest_made_ms.take() {
-            self.external_time.observe_copy(now, made_ms);
+        for copy in std::mem::take(&mut self.request_table.copy_times) {
+            match copy.from_origin {
+                true => self.external_time.observe_origin_copy(now, copy.ordered_at, copy.made_ms),
+                false => self.external_time.observe_copy(now, copy.made_ms),
+            }
         }
         for (node, sent_at, ready) in std::mem::take(&mut self.request_table.probe_answers) {
             self.routing.readiness_probe_answered(node, sent_at, ready);
--- a/crates/dispatcher/src/reducer/timers.rs
+++ b/crates/dispatcher/src/reducer/timers.rs
@@ -37,7 +37,7 @@
                 self.change_log.check_silence(now, &mut self.request_table.effects);
                 self.process_change_log(now);
                 self.correct_starts(now);
-                let unix_ms = self.external_time.latest_ms(now);
+                let unix_ms = self.external_time.saving_date_ms(now);
                 let list = self.snapshot.as_mut().and_then(|list| list.bytes_if_due(now, unix_ms));
                 self.request_table.effects.extend(list.map(Effect::SaveNodeList));
                 self.request_table.effects.push(Effect::Arm(now.after(SWEEP_INTERVAL), TimerKind::Sweep));
--- a/crates/dispatcher/src/request_table/attempts.rs
+++ b/crates/dispatcher/src/request_table/attempts.rs
@@ -25,8 +25,12 @@
         let (number, us) = (attempt.number, duration.0 / 1_000);
         log::debug!(target: TRACE, "{id} attempt {number} at {node} {outcome:?} {why:?} in {us} us, {bytes} bytes for {size} KB");
         let client = pending.client;
-        let made_ms = answer.and_then(|answer| answer.copy).map(|(_, made_ms)| made_ms);
-        self.latest_made_ms = self.latest_made_ms.max(made_ms);
+        let ordered_at = ended.started_at;
+        let copy_time = |answer: &nodes::Answer| {
+            let from_origin = answer.outcome == Outcome::Served && answer.remark == Remark::FilledFromOrigin;
+            answer.copy.map(|(_, made_ms)| CopyTime { made_ms, ordered_at, from_origin })
+        };
+        self.copy_times.extend(answer.and_then(copy_time));
         if self.collects_copies && completes_request {
             self.offered.extend(answer.and_then(|answer| pending.offer(answer)));
         }
--- a/crates/dispatcher/src/request_table/mod.rs
+++ b/crates/dispatcher/src/request_table/mod.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// When the copy in an answer was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyTime {
+    /// The Unix time in milliseconds at which the origin gave it out.
+    pub made_ms: u64,
+    /// When the attempt was ordered.
+    pub ordered_at: Nanos,
+    /// The origin was asked for this attempt, so it gave out the copy after that.
+    pub from_origin: bool,
+}
+
 /// An open request.
 #[derive(Debug)]
 struct PendingRequest {
@@ -111,8 +122,8 @@
     pub collects_copies: bool,
     /// Copies received since this was last emptied, with the requests for which they came.
     pub offered: Vec<(RoutingRequest, OfferedCopy)>,
-    /// The latest Unix millisecond at which a copy was made, among answers since this was last taken.
-    pub latest_made_ms: Option<u64>,
+    /// When the copies in answers were made, since this was last taken.
+    pub copy_times: Vec<CopyTime>,
     /// Ended attempts of which the routing policy has not been told yet.
     pub ended_attempts: VecDeque<(AttemptId, AttemptEnd)>,
     /// Answers to readiness probes: the node, when the probe was sent, and whether the node accepts work.
@@ -140,7 +151,7 @@
             max_unsent_bytes: limits.memory_mb * 1024 * 1024 / UNSENT_MEMORY_DIVISOR,
             collects_copies: false,
             offered: Vec::new(),
-            latest_made_ms: None,
+            copy_times: Vec::new(),
             ended_attempts: VecDeque::new(),
             probe_answers: Vec::new(),
             effects: Vec::new(),
--- a/crates/dispatcher/tests/dispatcher/last_list_clocks.rs
+++ b/crates/dispatcher/tests/dispatcher/last_list_clocks.rs
@@ -59,7 +59,8 @@
     let mut external = ExternalTime::new(Epoch::at(start_ms.saturating_add_signed(off_ms) * 1_000_000));
     config.known.results.iter().for_each(|change| external.observe_event(EPOCH, change));
     let max_age_ms = (MAX_AGE_S * 1e3) as u64;
-    match decode(bytes, external.latest_ms(EPOCH), config.fingerprint(), max_age_ms, config.known.seq) {
+    let unix_ms = external.latest_by_local_clock_ms(EPOCH);
+    match decode(bytes, unix_ms, config.fingerprint(), max_age_ms, config.known.seq) {
         Err(why) => why,
         Ok((known, age_ms)) => {
             config.known = known;
--- a/crates/dispatcher/tests/dispatcher/main.rs
+++ b/crates/dispatcher/tests/dispatcher/main.rs
@@ -10,6 +10,7 @@
 mod clocks_process;
 mod common;
 mod copies;
+mod copy_freshness;
 mod crossings;
 mod crossings_full;
 mod deadlines;
