Event loop: a paused node is not read on from the queue

Found by reading the change: an entry of the read queue outlived the pause of reading from nodes, so that a node that sends without end was read on although clients' answers had used up the memory. The queue now skips a connection whose input is not wanted; while it is paused, what the poll reports is read once, as before.

--- a/crates/dispatcher/src/event_loop/connections.rs
+++ b/crates/dispatcher/src/event_loop/connections.rs
@@ -127,8 +127,13 @@
         if readiness.writable {
             self.flush(peer);
         }
-        if readiness.readable || readiness.error {
-            self.queue_input(peer);
+        if !readiness.readable && !readiness.error {
+            return;
+        }
+        // While reading is paused only the end of a connection is reported, which a read shows.
+        match self.connections.get(&peer).is_some_and(|connection| connection.wants_input) {
+            true => self.queue_input(peer),
+            false => drop(self.read(peer, MAX_SLICE_BYTES)),
         }
     }
 
--- a/crates/dispatcher/src/event_loop/reading.rs
+++ b/crates/dispatcher/src/event_loop/reading.rs
@@ -41,10 +41,8 @@
     }
 
     fn read_slice(&mut self, slice: &Slice) -> usize {
-        // The reducer may have stopped reading this client since it was queued.
-        let is_wanted =
-            |connection: &Connection| connection.wants_input || slice.peer.kind() != PeerKind::Client;
-        if !self.connections.get(&slice.peer).is_some_and(is_wanted) {
+        // The reducer may have stopped reading it since it was queued.
+        if !self.connections.get(&slice.peer).is_some_and(|connection| connection.wants_input) {
             return 0;
         }
         if slice.peer.kind() == PeerKind::Client {
