Driver test: the idempotency window begins with an attempt that may have run

Cause, in the test's model: it counted the window from the first attempt that reached a node, also if the node answered "nothing", which says that it never ran.

Change: the model's window begins anew once no attempt may have run. It is as strict as before for all attempts that may have run.

--- a/crates/dispatcher/tests/dispatcher/driver/world.rs
+++ b/crates/dispatcher/tests/dispatcher/driver/world.rs
@@ -26,7 +26,7 @@
     pub answers: u32,
     /// The number of attempts that reached a node whole and may have run there.
     pub may_have_run: u32,
-    /// When the first attempt was sent whole.
+    /// When the first attempt that may have run was sent whole.
     pub first_sent: Option<Nanos>,
 }
 
@@ -325,6 +325,10 @@
         self.connection(number).in_flight.retain(|other| *other != id);
         let client_request = self.requests.get_mut(&id).expect("a known request");
         client_request.may_have_run -= u32::from(!ran);
+        if client_request.may_have_run == 0 {
+            // As long as nothing may have run, the window has not begun.
+            client_request.first_sent = None;
+        }
         let bytes = format!("{id:016x} {word}\r\n").into_bytes();
         self.answers_sent.push((number, bytes.clone()));
         let bytes = if twice { [&bytes[..], &bytes[..]].concat() } else { bytes };
