Event loop: a new client's first slice is read at once, and is no idle connection

A trace of closes: with some 480 connections open, those that had just been accepted were closed as "never sent anything", as their first request lay unread for over 0.1 s. Before slices a turn read every accepted client before the next was accepted, so the order of the loop hid this.

Ruled out: the limit of connections (no "too many connections" line), the time limit of a message.

Change: the first slice of a connection is read in the turn that finds its input, outside the turn's time, and 64 are accepted a turn; the reducer is told which clients have unread input, and closes them after those that rest, the last read first; a message whose bytes lay unread here gets its whole time again; idle clients are read as far as the largest message before they are closed for want of descriptors.

It had failed once beside six busy processes ("0 arrived").

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -21,9 +21,7 @@
 /// A client that has sent a message and is then idle for longer than this is closed. Typical clients close by
 /// themselves after half of it.
 const IDLE_TIMEOUT: Nanos = Nanos(8_000_000_000);
-/// A client that connected or was active less than this ago is not closed for want of descriptors. Among idle
-/// clients, one that connected less than this ago and has sent nothing is closed last: its first message is
-/// probably on the way.
+/// A client that connected or was active less than this ago is not closed for want of descriptors.
 const RECENT: Nanos = Nanos(100_000_000);
 
 /// One connection of a client.
@@ -52,6 +50,8 @@
     has_sent_message: bool,
     /// Since when an incomplete message has been waiting for its rest.
     partial_since: Option<Nanos>,
+    /// Input of it may lie unread in its socket.
+    has_unread_input: bool,
     /// Received bytes are being decoded; the connection is not closed before all requests in them are
     /// answered.
     decoding: bool,
@@ -113,16 +113,38 @@
         (self.last_active, self.has_sent_message, self.partial_since) = (now, true, None);
     }
 
-    /// All whole messages among the received bytes have been decoded.
-    pub fn all_decoded(&mut self, now: Nanos) {
+    /// All whole messages among the received bytes have been decoded. If the bytes lay unread here (`was_unread`), the
+    /// client gets the whole time for the rest of a message: more of it may lie unread too.
+    pub fn all_decoded(&mut self, now: Nanos, was_unread: bool) {
         self.decoding = false;
         self.decoder.release_spare_memory();
+        if was_unread {
+            (self.last_active, self.partial_since) = (now, None);
+        }
         let waits_for_rest = self.decoder.has_partial_message() && !self.closing;
         self.partial_since = waits_for_rest.then(|| self.partial_since.unwrap_or(now));
     }
 
-    /// Whether the client has sent nothing, or only part of a message, or has been idle, for too long.
+    /// The order in which idle connections are closed: first those that never sent a message, then those that have been
+    /// idle longest. What lies unread may be a request, so those with unread input come after them, of clients that were
+    /// read before those that were read last. Those that connected recently are last, as their first message is probably
+    /// on the way.
+    fn close_order(&self, now: Nanos) -> (u8, u64) {
+        let is_recent = now.since(self.last_active) < RECENT;
+        match (self.has_unread_input, self.has_sent_message) {
+            (false, false) if !is_recent => (0, self.last_active.0),
+            (false, true) => (1, self.last_active.0),
+            (true, _) => (2, u64::MAX - self.last_active.0),
+            (false, false) => (3, self.last_active.0),
+        }
+    }
+
+    /// Whether the client has sent nothing, or only part of a message, or has been idle, for too long. One with unread
+    /// input has not.
     fn is_overdue(&self, now: Nanos) -> bool {
+        if self.has_unread_input {
+            return false;
+        }
         let late = |since: Nanos, span: Nanos| now.since(since) > span;
         (!self.has_sent_message && late(self.last_active, MESSAGE_TIMEOUT))
             || self.partial_since.is_some_and(|since| late(since, MESSAGE_TIMEOUT))
@@ -135,6 +157,8 @@
 pub struct Clients {
     by_connection: HashMap<u32, Client>,
     unsent: u64,
+    /// The connections with unread input, as last reported.
+    unread: Vec<u32>,
     /// Connections in a lingering close.
     pub lingering: LingeringConnections,
 }
@@ -162,6 +186,18 @@
         self.by_connection.get_mut(&number)
     }
 
+    /// Input of these connections may lie unread in their sockets; of all others it was read to its end.
+    pub fn set_unread(&mut self, unread: &[u32]) {
+        let before = std::mem::replace(&mut self.unread, unread.to_vec());
+        for (numbers, has_unread_input) in [(before.as_slice(), false), (unread, true)] {
+            for number in numbers {
+                if let Some(client) = self.by_connection.get_mut(number) {
+                    client.has_unread_input = has_unread_input;
+                }
+            }
+        }
+    }
+
     /// The hash of the client's address; 0 if the client is no longer connected.
     pub fn source_hash(&self, number: u32) -> u64 {
         self.by_connection.get(&number).map_or(0, |client| client.source_hash)
@@ -270,15 +306,12 @@
         stalled
     }
 
-    /// Closes up to `max` idle connections, but not `except`: first those that never sent a message, then
-    /// those that have been idle longest, and last those that connected recently.
+    /// Closes up to `max` idle connections, but not `except`, in the order in which they are to be closed.
     pub fn close_idle(&mut self, max: usize, except: Option<u32>, now: Nanos, effects: &mut Vec<Effect>) {
         let idle = self.by_connection.iter().filter(|(number, c)| c.is_idle() && Some(**number) != except);
-        let rank =
-            |c: &Client| if c.has_sent_message { 1 } else { 2 * u8::from(now.since(c.last_active) < RECENT) };
-        let mut idle: Vec<_> = idle.map(|(number, c)| (rank(c), c.last_active, *number)).collect();
+        let mut idle: Vec<_> = idle.map(|(number, c)| (c.close_order(now), *number)).collect();
         idle.sort();
-        for (_, _, number) in idle.into_iter().take(max) {
+        for (_, number) in idle.into_iter().take(max) {
             self.close_lingering(number, now, effects);
         }
     }
@@ -309,8 +342,8 @@
     pub fn idle(&self, max: usize, now: Nanos) -> Vec<u32> {
         let is_idle = |client: &Client| client.is_idle() && now.since(client.last_active) >= RECENT;
         let idle = self.by_connection.iter().filter(|(_, client)| is_idle(client));
-        let mut idle: Vec<_> = idle.map(|(number, c)| (c.has_sent_message, c.last_active, *number)).collect();
+        let mut idle: Vec<_> = idle.map(|(number, c)| (c.close_order(now), *number)).collect();
         idle.sort();
-        idle.into_iter().take(max).map(|(_, _, number)| number).collect()
+        idle.into_iter().take(max).map(|(_, number)| number).collect()
     }
 }
--- a/crates/dispatcher/src/effects.rs
+++ b/crates/dispatcher/src/effects.rs
@@ -85,6 +85,8 @@
     Connected(Peer),
     /// Bytes were received.
     Received(Peer, &'a [u8]),
+    /// A turn of the event loop has read: input of these clients may still lie unread, of all others it does not.
+    InputUnread(&'a [u32]),
     /// Bytes have left; with their total since the connection began.
     Written(Peer, u64),
     /// Output queued for a node has waited so long that the times written in it are out of date.
--- a/crates/dispatcher/src/event_loop/connections.rs
+++ b/crates/dispatcher/src/event_loop/connections.rs
@@ -141,8 +141,11 @@
     fn queue_input(&mut self, peer: Peer) {
         let Some(connection) = self.connections.get_mut(&peer) else { return };
         let found_since = self.freshness.unread_since();
-        let unread_since = connection.unaccepted_since.take().map_or(found_since, |at| at.min(found_since));
-        self.unread.queue(peer.kind()).push(peer, unread_since);
+        let queue = self.unread.queue(peer.kind());
+        match connection.unaccepted_since.take() {
+            Some(came_at) => queue.push_new(peer, came_at.min(found_since)),
+            None => queue.push(peer, found_since),
+        }
     }
 
     /// A read or write has failed for a local reason or was interrupted too often. It is tried again in the next turn,
--- a/crates/dispatcher/src/event_loop/mod.rs
+++ b/crates/dispatcher/src/event_loop/mod.rs
@@ -8,7 +8,7 @@
 use crate::due_timers::DueTimers;
 use crate::effects::{Effect, Event, Peer, TimerKind, TrailingInput};
 use crate::freshness::Freshness;
-use crate::input_queue::{CLIENT_LIMITS, MAX_SLICE_BYTES, UnreadInputs};
+use crate::input_queue::{MAX_SLICE_BYTES, UnreadInputs};
 use crate::logs::{self, LogRateLimiter};
 use crate::purge_coverage::covers_purges_after;
 use crate::reducer::Reducer;
@@ -114,6 +114,8 @@
     due_timers: DueTimers<TimerKind>,
     /// Connections that may have input.
     unread: UnreadInputs,
+    /// Some of them are clients, as last reported to the reducer.
+    has_unread_clients: bool,
     /// Connections with new output.
     has_output: Vec<Peer>,
     /// Connections to nodes that are not written to until the clients' sockets have been polled again.
@@ -191,6 +193,7 @@
         deadlines: Deadlines::default(),
         due_timers: DueTimers::default(),
         unread: UnreadInputs::default(),
+        has_unread_clients: false,
         has_output: Vec::new(),
         awaiting_poll: Vec::new(),
         freshness: Freshness::new(clock.now()),
--- a/crates/dispatcher/src/event_loop/reading.rs
+++ b/crates/dispatcher/src/event_loop/reading.rs
@@ -23,9 +23,19 @@
             }
             self.read_queued(kind);
         }
+        self.report_unread_clients();
         !self.unread.is_empty()
     }
 
+    /// Reports to the reducer the clients that this turn has not read to their end, if there are any or were any.
+    fn report_unread_clients(&mut self) {
+        let unread = self.unread.unread_clients();
+        if !unread.is_empty() || self.has_unread_clients {
+            self.has_unread_clients = !unread.is_empty();
+            self.reduce(Event::InputUnread(&unread));
+        }
+    }
+
     /// Reads the connections of a kind that have unread input, within the limits of a turn.
     fn read_queued(&mut self, kind: PeerKind) {
         self.unread.queue(kind).begin_turn(self.clock.now());
@@ -92,12 +102,12 @@
         }
     }
 
-    /// Reads the idle clients that would be closed to free descriptors. One that has sent a request meanwhile is no
-    /// longer idle and stays open.
+    /// Reads the idle clients that would be closed to free descriptors, each as far as the largest message. One that has
+    /// sent a request meanwhile is no longer idle and stays open.
     pub(super) fn read_idle_clients(&mut self) {
         for number in self.reducer.idle_clients(self.clock.now()) {
             self.report_input_delay(self.freshness.unread_since());
-            self.read(Peer::Client(number), CLIENT_LIMITS.slice_bytes[1]);
+            self.read(Peer::Client(number), MAX_SLICE_BYTES);
         }
     }
 
--- a/crates/dispatcher/src/external_time.rs
+++ b/crates/dispatcher/src/external_time.rs
@@ -64,6 +64,17 @@
     }
 }
 
+/// When the copy in an answer was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyTime {
+    /// The Unix time in milliseconds at which the origin gave it out.
+    pub made_ms: u64,
+    /// When the attempt was ordered.
+    pub ordered_at: Nanos,
+    /// The origin was asked for this attempt, so it gave out the copy after that.
+    pub from_origin: bool,
+}
+
 /// The estimate of the external time.
 #[derive(Debug)]
 pub struct ExternalTime {
@@ -103,6 +114,14 @@
         lead(now, unix_ms).into_iter().for_each(|lead| self.log.observe(now, lead));
     }
 
+    /// Takes the time at which the copy in an answer was made.
+    pub fn observe_answer(&mut self, now: Nanos, copy: &CopyTime) {
+        match copy.from_origin {
+            true => self.observe_origin_copy(now, copy.ordered_at, copy.made_ms),
+            false => self.observe_copy(now, copy.made_ms),
+        }
+    }
+
     /// Takes the Unix time in milliseconds at which a copy was made, from a node's answer. That may be long ago.
     pub fn observe_copy(&mut self, now: Nanos, made_ms: u64) {
         if let Some(lead) = lead(now, made_ms) {
--- a/crates/dispatcher/src/input_queue.rs
+++ b/crates/dispatcher/src/input_queue.rs
@@ -3,6 +3,10 @@
 //! in the same order. So a turn stays short, and a connection waits for at most one slice of each other connection,
 //! whoever sends how much.
 //!
+//! The first slice of a new connection is read in the turn that finds its input, whatever the time: the loop accepts
+//! no more connections in a turn than it can read the beginning of, so that new clients wait in the listener's backlog,
+//! in order, and not here, where they would be taken for idle ones. A usual request fits into it.
+//!
 //! No I/O; the event loop calls it and passes in the time.
 //!
 //! *Owner*: the event loop has one queue for each kind of connection. *Bound*: an entry for each open connection; that
@@ -59,7 +63,7 @@
 pub const FINAL_LIMITS: ReadLimits =
     ReadLimits { turn_time: Nanos(50_000_000), pass_bytes: 4 * 1024 * 1024, ..CLIENT_LIMITS };
 
-/// The largest slice of any kind of connection, in bytes.
+/// The largest slice of any kind of connection, in bytes: more than the largest message of a client.
 pub const MAX_SLICE_BYTES: usize = 64 * 1024;
 
 /// A connection with unread input.
@@ -72,6 +76,13 @@
     bytes_read: usize,
 }
 
+/// A slice that is being read.
+#[derive(Debug, Clone, Copy)]
+struct CurrentSlice {
+    entry: UnreadInput,
+    max_bytes: usize,
+}
+
 /// What is to be read next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Slice {
@@ -87,11 +98,13 @@
 #[derive(Debug)]
 pub struct InputQueue {
     limits: ReadLimits,
+    /// Connections that were never read.
+    new: VecDeque<UnreadInput>,
     entries: VecDeque<UnreadInput>,
     waiting: HashSet<Peer>,
     turn_ends: Nanos,
     /// The slice that is being read, if any; its connection is no longer among the entries.
-    current: Option<(UnreadInput, usize)>,
+    current: Option<CurrentSlice>,
     /// Whether a slice was read in this turn.
     has_read: bool,
 }
@@ -101,6 +114,7 @@
     pub fn new(limits: ReadLimits) -> Self {
         InputQueue {
             limits,
+            new: VecDeque::new(),
             entries: VecDeque::new(),
             waiting: HashSet::new(),
             turn_ends: Nanos::ZERO,
@@ -116,9 +130,16 @@
         }
     }
 
+    /// The same for a connection that was never read.
+    pub fn push_new(&mut self, peer: Peer, unread_since: Nanos) {
+        if self.waiting.insert(peer) {
+            self.new.push_back(UnreadInput { peer, unread_since, bytes_read: 0 });
+        }
+    }
+
     /// Whether any input may be unread.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.new.is_empty() && self.entries.is_empty()
     }
 
     /// A turn begins to read.
@@ -129,19 +150,23 @@
     /// What to read next in this turn, at least one slice; `None` once its time is up or nothing is unread. The caller
     /// reports the result with [`Self::slice_read`].
     pub fn next_slice(&mut self, now: Nanos) -> Option<Slice> {
-        if self.has_read && now >= self.turn_ends {
-            return None;
-        }
-        let max_bytes = self.slice_bytes();
-        let entry = self.entries.pop_front()?;
-        (self.has_read, self.current) = (true, Some((entry, max_bytes)));
+        let current = match self.new.pop_front() {
+            Some(entry) => CurrentSlice { entry, max_bytes: self.limits.slice_bytes[0] },
+            None if self.has_read && now >= self.turn_ends => return None,
+            None => {
+                let max_bytes = self.slice_bytes();
+                CurrentSlice { entry: self.entries.pop_front()?, max_bytes }
+            }
+        };
+        (self.has_read, self.current) = (true, Some(current));
+        let CurrentSlice { entry, max_bytes } = current;
         Some(Slice { peer: entry.peer, max_bytes, unread_since: entry.unread_since })
     }
 
     /// The slice returned last was read, with this number of bytes; zero if nothing was there or the connection is
     /// closed.
     pub fn slice_read(&mut self, bytes: usize) {
-        let Some((mut entry, max_bytes)) = self.current.take() else { return };
+        let Some(CurrentSlice { mut entry, max_bytes }) = self.current.take() else { return };
         entry.bytes_read += bytes;
         let is_end = bytes == 0 || (self.limits.short_read_ends && bytes < max_bytes);
         if is_end || entry.bytes_read >= self.limits.pass_bytes {
@@ -194,4 +219,13 @@
     pub fn has_client_input(&self) -> bool {
         !self.clients.is_empty()
     }
+
+    /// The numbers of the clients whose input may be unread.
+    pub fn unread_clients(&self) -> Vec<u32> {
+        let client = |entry: &UnreadInput| match entry.peer {
+            Peer::Client(number) => Some(number),
+            Peer::Node(_) | Peer::ChangeLog(_) => None,
+        };
+        self.clients.entries.iter().filter_map(client).collect()
+    }
 }
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -24,6 +24,7 @@
     }
 
     pub(super) fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
+        let was_unread = self.request_table.input_delay > Nanos::ZERO;
         let Some(client) = self.request_table.clients.get_mut(number) else {
             if self.request_table.clients.lingering.received(number, bytes.len()) {
                 self.request_table.effects.push(Effect::Close(Peer::Client(number)));
@@ -40,7 +41,7 @@
             let message = match client.decoder.next_message() {
                 Ok(Some(message)) => message,
                 Ok(None) => {
-                    client.all_decoded(now);
+                    client.all_decoded(now, was_unread);
                     if client.is_too_slow() {
                         self.dismiss_client(now, number);
                     }
--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -211,6 +211,7 @@
             Event::Written(Peer::Client(number), total) => self.request_table.client_written(number, total),
             Event::Written(Peer::Node(number), total) => self.request_table.node_written(number, total),
             Event::OutputStale(Peer::Node(number)) => self.request_table.reencode_unsent(number),
+            Event::InputUnread(clients) => self.request_table.clients.set_unread(clients),
             Event::InputDelay(span) => self.request_table.input_delay = span,
             Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
             Event::EndOfStream(Peer::Client(number)) => self.client_finished_sending(now, number),
--- a/crates/dispatcher/src/reducer/routing_notifications.rs
+++ b/crates/dispatcher/src/reducer/routing_notifications.rs
@@ -15,10 +15,7 @@
     /// probe answers and refusing nodes, and offers received copies to the local cache.
     pub(super) fn report_attempt_ends(&mut self, now: Nanos) {
         for copy in std::mem::take(&mut self.request_table.copy_times) {
-            match copy.from_origin {
-                true => self.external_time.observe_origin_copy(now, copy.ordered_at, copy.made_ms),
-                false => self.external_time.observe_copy(now, copy.made_ms),
-            }
+            self.external_time.observe_answer(now, &copy);
         }
         for (node, sent_at, ready) in std::mem::take(&mut self.request_table.probe_answers) {
             self.routing.readiness_probe_answered(node, sent_at, ready);
--- a/crates/dispatcher/src/request_table/mod.rs
+++ b/crates/dispatcher/src/request_table/mod.rs
@@ -6,6 +6,7 @@
 use crate::clients::Clients;
 use crate::config::Limits;
 use crate::effects::{Effect, TimerKind};
+use crate::external_time::CopyTime;
 use crate::local_cache::{self, OfferedCopy};
 use crate::nodes::{AttemptId, NextMessage, NodePool, NodeStart, Nodes, ProbeCounts};
 use copperroute_cache_store::record::Facts;
@@ -59,17 +60,6 @@
     }
 }
 
-/// When the copy in an answer was made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CopyTime {
-    /// The Unix time in milliseconds at which the origin gave it out.
-    pub made_ms: u64,
-    /// When the attempt was ordered.
-    pub ordered_at: Nanos,
-    /// The origin was asked for this attempt, so it gave out the copy after that.
-    pub from_origin: bool,
-}
-
 /// An open request.
 #[derive(Debug)]
 struct PendingRequest {
--- a/crates/dispatcher/tests/dispatcher/input_queue.rs
+++ b/crates/dispatcher/tests/dispatcher/input_queue.rs
@@ -140,6 +140,29 @@
     assert!(!left(NODE_LIMITS));
 }
 
+/// Guards against new clients that wait here for their turn among many that flood: each is read in the turn that finds
+/// its input, as far as a usual request, before the others go on.
+#[test]
+fn the_first_slice_of_a_new_connection_is_read_at_once() {
+    let mut queue = InputQueue::new(CLIENT_LIMITS);
+    (1..=100).for_each(|client| queue.push(Peer::Client(client), START));
+    (101..=164).for_each(|client| queue.push_new(Peer::Client(client), START));
+    let mut now = START;
+    queue.begin_turn(now);
+    let mut read = Vec::new();
+    while let Some(slice) = queue.next_slice(now) {
+        now = now.after(Nanos(1_000_000));
+        read.push((slice.peer, slice.max_bytes));
+        queue.slice_read(slice.max_bytes);
+    }
+    let first_slices: Vec<_> =
+        (101..=164).map(|client| (Peer::Client(client), CLIENT_LIMITS.slice_bytes[0])).collect();
+    assert_eq!(read, first_slices);
+    // In the next turn the others come first.
+    queue.begin_turn(now);
+    assert_eq!(queue.next_slice(now).map(|slice| slice.peer), Some(Peer::Client(1)));
+}
+
 /// One kind of connection takes no time from another: each turn reads something of each.
 #[test]
 fn each_kind_of_connection_has_its_own_time() {
--- a/crates/dispatcher/tests/dispatcher/rig.rs
+++ b/crates/dispatcher/tests/dispatcher/rig.rs
@@ -4,7 +4,7 @@
 use copperroute_fault_injection::{self as fault_injection, FaultPlan, VARIABLE};
 use socket2::SockRef;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -258,9 +258,28 @@
     }
 }
 
-/// Waits until a new client is answered, so that earlier input was read; returns that answer and the attempt at a
+/// Waits until nothing that clients have sent lies unread in a socket of the program, and none waits to be accepted.
+fn wait_until_all_is_read(rig: &Rig) {
+    let address: SocketAddrV4 = rig.address.parse().expect("an address");
+    let local = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+    let until = Instant::now() + LONG;
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table of sockets");
+        let mut sockets = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        let is_unread =
+            |fields: Vec<&str>| fields.len() > 4 && fields[1] == local && !fields[4].ends_with(":00000000");
+        if !sockets.any(is_unread) {
+            return;
+        }
+        assert!(Instant::now() < until, "the program does not read what clients have sent");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Waits until all earlier input was read and then a new client is answered; returns that answer and the attempt at a
 /// node, if any.
 pub(crate) fn quiet(rig: &Rig) -> String {
+    wait_until_all_is_read(rig);
     let mut client = rig.client();
     client.write_all(&message("HEALTH", 8)).expect("the program reads");
     let mut trace = answer(&client);
--- a/crates/dispatcher/tests/dispatcher/unread.rs
+++ b/crates/dispatcher/tests/dispatcher/unread.rs
@@ -4,6 +4,7 @@
 use crate::common::{CONFIG, LOOPBACK, Play, message, request};
 use crate::rig::{Rig, UNHURRIED, answer, items, lies_unread, told};
 use copperroute_dispatcher::effects::{Event, Peer};
+use copperroute_routing::interface::Nanos;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::process::Stdio;
 use std::thread;
@@ -32,6 +33,21 @@
     assert!(trace.contains("shut Client(1)\n"), "{trace}");
 }
 
+/// Guards against a client being closed as too slow because its message lay unread here while others were read.
+#[test]
+fn a_message_that_is_read_late_in_pieces_is_answered() {
+    let mut play = Play::new();
+    play.beats(1, 1);
+    let message = request(7, "image", "9b1f", ",timeout=5000,need=100000");
+    play.event(Event::InputDelay(Nanos(100_000_000)));
+    for piece in message.chunks(20) {
+        play.client(piece);
+        play.pass(700);
+    }
+    let trace = play.take();
+    assert!(trace.contains("fetch 9b1f") && !trace.contains("shut Client(1)"), "{trace}");
+}
+
 /// The same on sockets: the answer arrives, then the connection is closed.
 #[test]
 fn a_client_that_sends_half_a_message_is_answered_and_then_shut() {
@@ -197,3 +213,32 @@
     println!("{answered} answered, {unread} unread");
     assert_eq!(answered + unread, 600);
 }
+
+/// Guards against new clients being closed as idle in place of those that flood: these have input unread at all times.
+#[test]
+fn clients_that_flood_are_closed_before_one_that_has_just_connected() {
+    let config = CONFIG.replace("\"sockets\": 1024", "\"sockets\": 40");
+    let mut play = Play::of(&config);
+    play.client(&message("HEALTH", 1));
+    for client in 2..=20 {
+        play.event(Event::Accepted(client, LOOPBACK));
+        play.event(Event::Received(Peer::Client(client), &message("HEALTH", 1)));
+    }
+    let unread: Vec<u32> = (2..=20).collect();
+    play.event(Event::InputUnread(&unread));
+    play.take();
+    let closed_for = |play: &mut Play, new: u32| {
+        play.event(Event::Accepted(new, LOOPBACK));
+        let trace = play.take();
+        let shut = trace
+            .lines()
+            .filter_map(|line| line.strip_prefix("shut Client(")?.strip_suffix(')')?.parse().ok());
+        shut.collect::<Vec<u32>>()
+    };
+    // The resting client comes first, then those that were read last.
+    let closed = closed_for(&mut play, 21);
+    assert_eq!(closed[..2], [1, 2], "{closed:?}");
+    (22..=30).for_each(|client| drop(closed_for(&mut play, client)));
+    play.event(Event::Received(Peer::Client(21), &request(7, "image", "9b1f", ",need=100")));
+    assert!(play.take().contains("fetch 9b1f"));
+}
