Review: each case is a program of its own, so that both build scripts build it

Cause: the earlier review's build script builds case.rs of every numbered folder, and cases 6 to 10 were modules of one program: it ended with an error at the first of them. Change: each case has its main; build-2.sh builds them one by one; a case that is interrupted leaves no dispatcher behind.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,7 +1,10 @@
 //! Case 6: clients that read their answers at the lowest pace of the pages, with up to 32 requests open, and the memory
 //! of the dispatcher.
 
-use crate::stage::*;
+#[path = "../stage-2/stage.rs"]
+mod stage;
+
+use stage::*;
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpStream;
@@ -49,7 +52,11 @@
     }
 }
 
-pub fn run(record: &Record, folder: &Path) -> CaseResult<bool> {
+fn main() {
+    run_case(case)
+}
+
+fn case(record: &Record, folder: &Path) -> CaseResult<bool> {
     let trouble = with_trouble();
     let agenda = Agenda::new();
     let body = Arc::new((0..OBJECT_BYTES).map(|at| (at * 7 % 251) as u8).collect::<Vec<_>>());
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,7 +1,10 @@
 //! Case 7: clients that say nothing connect by hundreds, while usual clients read answers that the dispatcher has handed
 //! to its socket.
 
-use crate::stage::*;
+#[path = "../stage-2/stage.rs"]
+mod stage;
+
+use stage::*;
 use std::collections::HashMap;
 use std::net::TcpStream;
 use std::path::Path;
@@ -29,7 +32,11 @@
     ended_at: Instant,
 }
 
-pub fn run(record: &Record, folder: &Path) -> CaseResult<bool> {
+fn main() {
+    run_case(case)
+}
+
+fn case(record: &Record, folder: &Path) -> CaseResult<bool> {
     let trouble = with_trouble();
     let agenda = Agenda::new();
     let body = Arc::new((0..OBJECT_BYTES).map(|at| (at * 7 % 251) as u8).collect::<Vec<_>>());
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,7 +1,10 @@
 //! Case 8: a planned restart while clients read answers that the dispatcher has handed to its socket, and give some
 //! requests up.
 
-use crate::stage::*;
+#[path = "../stage-2/stage.rs"]
+mod stage;
+
+use stage::*;
 use std::collections::{HashMap, HashSet};
 use std::io::Write;
 use std::path::Path;
@@ -32,7 +35,11 @@
     at: Instant,
 }
 
-pub fn run(record: &Record, folder: &Path) -> CaseResult<bool> {
+fn main() {
+    run_case(case)
+}
+
+fn case(record: &Record, folder: &Path) -> CaseResult<bool> {
     let trouble = with_trouble();
     let agenda = Agenda::new();
     let body = Arc::new((0..OBJECT_BYTES).map(|at| (at * 7 % 251) as u8).collect::<Vec<_>>());
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,6 +1,9 @@
 //! Case 9: some bad clients send hundreds of writes at once, and the memory of the dispatcher.
 
-use crate::stage::*;
+#[path = "../stage-2/stage.rs"]
+mod stage;
+
+use stage::*;
 use std::collections::HashMap;
 use std::io::Write;
 use std::path::Path;
@@ -24,7 +27,11 @@
 const ORIGIN_MS: u64 = 50;
 const SECONDS: f64 = 10.0;
 
-pub fn run(record: &Record, folder: &Path) -> CaseResult<bool> {
+fn main() {
+    run_case(case)
+}
+
+fn case(record: &Record, folder: &Path) -> CaseResult<bool> {
     let trouble = with_trouble();
     let agenda = Agenda::new();
     let body = Arc::new(vec![7; 20_000]);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10 into target/review-2, with the Rust tool chain alone.
+# Builds the stand-ins and judges of the cases 6 to 10 into target/review-2, by rustc and the standard library alone. Run
+# after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-exec rustc --edition 2024 -C opt-level=2 --crate-name stage -o target/review-2/stage review/stage-2/main.rs
+for case in 6 7 8 9 10; do
+    rustc --edition 2024 -O -o "target/review-2/case-$case" "review/$case/case.rs"
+done
--- a/review/stage-2/stage.rs
+++ b/review/stage-2/stage.rs
@@ -10,6 +10,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -24,6 +25,7 @@
 pub const SIGCONT: i32 = 18;
 
 unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
@@ -634,7 +636,15 @@
         let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
         let log = log.map_err(|fault| fault.to_string())?;
         let command = run_command()?;
-        let child = Command::new("/bin/sh")
+        let mut shell = Command::new("/bin/sh");
+        // PR_SET_PDEATHSIG is 1 on Linux: a case that is interrupted leaves no dispatcher behind.
+        unsafe {
+            shell.pre_exec(|| {
+                prctl(1, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = shell
             .args(["-c", &command])
             .env("PROXY_NAME", name)
             .env("PROXY_LISTEN", address.to_string())
@@ -785,3 +795,23 @@
 pub fn with_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
+
+/// Runs a case; its one argument is the folder for `record.txt`. Exit code 1: the rule was broken; 0: it held; 2: the case
+/// could not be run.
+pub fn run_case(case: fn(&Record, &Path) -> CaseResult<bool>) -> ! {
+    let run = || {
+        let folder = std::env::args().nth(1).ok_or("usage: case FOLDER")?;
+        let record = Record::create(&Path::new(&folder).join("record.txt"))?;
+        record.line(if with_trouble() { "with the disruption" } else { "TROUBLE=0, without the disruption" });
+        let temporary = Folder::create()?;
+        case(&record, &temporary.0)
+    };
+    match run() {
+        Ok(true) => std::process::exit(1),
+        Ok(false) => std::process::exit(0),
+        Err(why) => {
+            eprintln!("the case could not be run: {why}");
+            std::process::exit(2);
+        }
+    }
+}
