--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -46,6 +46,7 @@
     };
     encode_request(tag, &id, &request, &mut bytes);
     if asking.sender.write_all(&bytes).is_ok() {
+        note(&format!("asked {id}: firmware-image, {TIMEOUT_MS} ms"));
         asking.next_tag += 1;
         asking.open.insert(tag, id);
         sent.fetch_add(1, Ordering::Relaxed);
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -107,6 +107,7 @@
                     if sender.lock().unwrap().write_all(&bytes).is_err() {
                         return;
                     }
+                    note(&format!("asked {id}: {content_type}, {timeout_ms} ms"));
                     open.lock().unwrap().insert(tag, Asked { id: id.clone(), is_firmware, at: Instant::now() });
                     // A client that stops waiting sends ABORT.
                     let (open, sender, record) = (open.clone(), sender.clone(), record.clone());
--- a/review/stage-2/stage.rs
+++ b/review/stage-2/stage.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -103,6 +103,16 @@
     }
 }
 
+/// The record of this run, for what nodes are sent and clients ask.
+static RUN: OnceLock<Record> = OnceLock::new();
+
+/// Writes a line to the record of this run.
+pub fn note(text: &str) {
+    if let Some(record) = RUN.get() {
+        record.line(text);
+    }
+}
+
 // Delayed actions.
 
 type Action = Box<dyn FnOnce() + Send>;
@@ -391,6 +401,7 @@
                     }
                     let fields = list.split(',').filter_map(|pair| pair.split_once('='));
                     let fields = fields.map(|(name, value)| (name.to_string(), value.to_string())).collect();
+                    note(&format!("{}: {id} came, {length} bytes, {list}", self.id));
                     let number = self.fetches.fetch_add(1, Ordering::Relaxed);
                     let fetch = Fetch { id: id.to_string(), fields, body: length, number };
                     if let Reply::Answer { delay, word, fields, body } = handler(&fetch) {
@@ -516,6 +527,7 @@
         let mut bytes = Vec::new();
         let sent = self.encode(request, &mut bytes);
         self.stream.write_all(&bytes)?;
+        note(&format!("asked {}: {}, {} ms", sent.1, request.content_type, request.timeout_ms));
         Ok(sent)
     }
 
@@ -802,6 +814,7 @@
     let run = || {
         let folder = std::env::args().nth(1).ok_or("usage: case FOLDER")?;
         let record = Record::create(&Path::new(&folder).join("record.txt"))?;
+        let _ = RUN.set(record.clone());
         record.line(if with_trouble() { "with the disruption" } else { "TROUBLE=0, without the disruption" });
         let temporary = Folder::create()?;
         case(&record, &temporary.0)
