--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -93,6 +93,7 @@
     };
     let mut dispatcher = Dispatcher::start("n1", &deployment.config(), folder, record)?;
     dispatcher.wait_ready()?;
+    dispatcher.memory().ok_or("the memory of a process can't be read here")?;
     record.line(&format!(
         "{READERS} clients, each with up to {OPEN} requests open for objects of {OBJECT_BYTES} bytes; they read {}",
         if trouble { format!("{PACE} bytes a second") } else { "at once".into() }
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -169,7 +169,8 @@
     let (forwarded, mut broken) = (forwarded.lock().unwrap(), 0);
     for (client, Asked { id, is_firmware, at }, ended_at) in unanswered.lock().unwrap().iter() {
         let (waited, before) = (ended_at.duration_since(*at).as_millis(), told_at.saturating_duration_since(*at).as_millis());
-        if *is_firmware && forwarded.contains(id) {
+        let in_time = waited < u128::from(FIRMWARE_MS);
+        if *is_firmware && in_time && forwarded.contains(id) {
             broken += 1;
             record.line(&format!(
                 "LOST: client {client}: {id}, forwarded, asked {before} ms before SIGTERM, has no whole answer as the \
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -75,6 +75,7 @@
     };
     let mut dispatcher = Dispatcher::start("n1", &deployment.config(), folder, record)?;
     dispatcher.wait_ready()?;
+    dispatcher.memory().ok_or("the memory of a process can't be read here")?;
 
     let (stop, address) = (Arc::new(AtomicBool::new(false)), dispatcher.address);
     let answers: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
--- a/review/stage-2/stage.rs
+++ b/review/stage-2/stage.rs
@@ -819,7 +819,14 @@
         let temporary = Folder::create()?;
         case(&record, &temporary.0)
     };
-    match run() {
+    // A script runs for 120 seconds at most. The dispatchers end with this process.
+    thread::spawn(|| {
+        sleep_ms(110_000);
+        eprintln!("the case could not be run: it did not end in time");
+        std::process::exit(2);
+    });
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
+    match result.unwrap_or_else(|_| Err("the case's own program failed".into())) {
         Ok(true) => std::process::exit(1),
         Ok(false) => std::process::exit(0),
         Err(why) => {
