Output of a connection is freed as it is written, also while more follows

Missing invariant: what a socket has taken is no longer held.

Cause: Connection::flush freed its buffer only once all was written, and write appended to it, so that a connection that always has something left to write kept all that it was ever sent.

Change: protocol/outgoing.rs, a queue of chunks, each freed when its last byte is written. The replica of the change log had the same buffer for its followers and uses the same queue.

--- a/crates/change-log-replica/src/event_loop/connections.rs
+++ b/crates/change-log-replica/src/event_loop/connections.rs
@@ -5,6 +5,7 @@
     AcceptError, ConnectError, TransferError, classify_accept_error, classify_connect_error,
     classify_transfer_error,
 };
+use copperroute_protocol::outgoing::OutputQueue;
 
 type Source = calloop::Dispatcher<'static, Generic<Rc<TcpStream>>, Inbox>;
 
@@ -17,9 +18,7 @@
     source: Source,
     token: calloop::RegistrationToken,
     connecting: bool,
-    buffer: Vec<u8>,
-    /// How many bytes of `buffer` were written already.
-    written: usize,
+    output: OutputQueue,
 }
 
 /// The result of writing the waiting bytes.
@@ -35,26 +34,25 @@
 impl Connection {
     /// Writes as much as the socket takes.
     fn flush(&mut self) -> Flushed {
-        let (before, mut interrupted) = (self.written, 0);
-        while self.written < self.buffer.len() {
-            match (&*self.stream).write(&self.buffer[self.written..]) {
+        let (mut total, mut interrupted) = (0, 0);
+        while !self.output.is_empty() {
+            match (&*self.stream).write(self.output.next_bytes()) {
                 Ok(0) => return Flushed::Broken,
-                Ok(count) => self.written += count,
+                Ok(count) => {
+                    self.output.written(count);
+                    total += count;
+                }
                 Err(fault) => match classify_transfer_error(&fault) {
                     TransferError::NotReady => break,
                     TransferError::Interrupted if interrupted < MAX_INTERRUPTED_ATTEMPTS => interrupted += 1,
                     TransferError::Interrupted | TransferError::OutOfMemory => {
-                        return Flushed::Blocked(self.written - before);
+                        return Flushed::Blocked(total);
                     }
                     TransferError::Broken => return Flushed::Broken,
                 },
             }
         }
-        let left = self.written - before;
-        if self.written == self.buffer.len() {
-            (self.buffer, self.written) = (Vec::new(), 0);
-        }
-        Flushed::Wrote(left)
+        Flushed::Wrote(total)
     }
 }
 
@@ -131,7 +129,7 @@
         match (prepared, self.handle.register_dispatcher(source.clone())) {
             (Ok(()), Ok(token)) => {
                 let connection =
-                    Connection { stream, source, token, connecting, buffer: Vec::new(), written: 0 };
+                    Connection { stream, source, token, connecting, output: OutputQueue::default() };
                 self.connections.insert(peer, connection);
                 true
             }
@@ -209,7 +207,7 @@
 
     pub(super) fn write(&mut self, peer: Peer, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(&peer) else { return };
-        connection.buffer.extend_from_slice(bytes);
+        connection.output.push(bytes.to_vec());
         self.to_flush.push(peer);
     }
 
@@ -222,7 +220,7 @@
 
     fn flush(&mut self, peer: Peer) {
         let Some(connection) = self.connections.get_mut(&peer) else { return };
-        if connection.connecting || connection.buffer.is_empty() {
+        if connection.connecting || connection.output.is_empty() {
             return;
         }
         let bytes = match connection.flush() {
@@ -242,7 +240,7 @@
     /// Registers interest in the readiness that the connection waits for.
     fn set_interest(&mut self, peer: Peer) {
         let Some(connection) = self.connections.get(&peer) else { return };
-        let writable = connection.connecting || !connection.buffer.is_empty();
+        let writable = connection.connecting || !connection.output.is_empty();
         let interest = Interest { readable: !connection.connecting, writable };
         let mut source = connection.source.as_source_mut();
         if (source.interest.readable, source.interest.writable) == (interest.readable, interest.writable) {
--- a/crates/dispatcher/src/event_loop/connections.rs
+++ b/crates/dispatcher/src/event_loop/connections.rs
@@ -4,6 +4,7 @@
 use copperroute_change_log_replica::socket_errors::{
     ConnectError, TransferError, classify_connect_error, classify_transfer_error,
 };
+use copperroute_protocol::outgoing::OutputQueue;
 
 /// A connection and its unwritten output.
 pub(super) struct Connection {
@@ -13,9 +14,7 @@
     pub(super) connecting: bool,
     /// The reducer wants its input.
     pub(super) wants_input: bool,
-    pub(super) output: Vec<u8>,
-    /// The bytes of `output` before this offset are written.
-    pub(super) output_offset: usize,
+    pub(super) output: OutputQueue,
     /// When the unwritten output was requested.
     pub(super) requested_at: Nanos,
     /// Bytes written in total.
@@ -48,8 +47,7 @@
                     token,
                     connecting,
                     wants_input: true,
-                    output: Vec::new(),
-                    output_offset: 0,
+                    output: OutputQueue::default(),
                     requested_at: Nanos::ZERO,
                     bytes_written: 0,
                     unaccepted_since: None,
--- a/crates/dispatcher/src/event_loop/writing.rs
+++ b/crates/dispatcher/src/event_loop/writing.rs
@@ -18,7 +18,7 @@
     pub(super) fn truncate_output(&mut self, peer: Peer, from: u64) {
         if let Some(connection) = self.connections.get_mut(&peer) {
             let kept = from.saturating_sub(connection.bytes_written) as usize;
-            connection.output.truncate(connection.output_offset + kept);
+            connection.output.truncate(kept);
         }
         // A connection without output must not be polled for writing: it would always be ready.
         self.set_interest(peer);
@@ -27,10 +27,10 @@
     /// Queues output of a connection; it is written at the end of the turn.
     pub(super) fn write(&mut self, peer: Peer, bytes: Vec<u8>) {
         let Some(connection) = self.connections.get_mut(&peer) else { return };
-        match connection.output.is_empty() {
-            true => (connection.output, connection.requested_at) = (bytes, self.requested_at),
-            false => connection.output.extend_from_slice(&bytes),
+        if connection.output.is_empty() {
+            connection.requested_at = self.requested_at;
         }
+        connection.output.push(bytes);
         self.has_output.push(peer);
     }
 
@@ -114,11 +114,11 @@
     /// broken.
     pub(super) fn flush(&mut self) -> io::Result<()> {
         let mut interrupted = 0;
-        while self.output_offset < self.output.len() {
-            match (&*self.stream).write(&self.output[self.output_offset..]) {
+        while !self.output.is_empty() {
+            match (&*self.stream).write(self.output.next_bytes()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => {
-                    self.output_offset += count;
+                    self.output.written(count);
                     self.bytes_written += count as u64;
                 }
                 Err(fault) => match classify_transfer_error(&fault) {
@@ -128,8 +128,6 @@
                 },
             }
         }
-        self.output = Vec::new();
-        self.output_offset = 0;
         if std::mem::take(&mut self.shutdown_after_output) {
             self.stream.shutdown(Shutdown::Write)?;
         }
--- a/crates/dispatcher/tests/dispatcher/rig.rs
+++ b/crates/dispatcher/tests/dispatcher/rig.rs
@@ -85,6 +85,11 @@
 
     /// Starts a rig after a shell command that sets limits.
     pub(crate) fn limited(limits: &str, errors: Stdio) -> Rig {
+        Rig::configured(limits, errors, |config| config)
+    }
+
+    /// The same with a configuration that `edit` has changed.
+    pub(crate) fn configured(limits: &str, errors: Stdio, edit: impl Fn(String) -> String) -> Rig {
         let (sender, asked) = channel();
         let log = TcpListener::bind("127.0.0.1:0").expect("a free port");
         // A loopback address of its own: another test may take a port that was found free.
@@ -101,7 +106,7 @@
             config = config.replace(&format!("127.0.0.1:{port}"), &stand_in(node, sender.clone()));
         }
         let path = std::env::temp_dir().join(format!("copperroute-{}.json", address.replace(':', "-")));
-        std::fs::write(&path, config).expect("a temporary file");
+        std::fs::write(&path, edit(config)).expect("a temporary file");
         let serve = format!("{limits}; exec \"$0\" serve --config \"$1\"");
         let program = Command::new("sh")
             .args(["-c", &serve, env!("CARGO_BIN_EXE_copperroute")])
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod hex;
 pub mod incoming;
 pub mod nodes;
+pub mod outgoing;
