Client connections stay open until their answers are delivered, not just handed over

Missing invariant: an answer is delivered when its client has closed or no longer waits; what the socket has taken is on its way. One cause for both cases: Client::is_idle and is_drained took the second for the first. Ruled out: a limit of connections (no such line), the node side (all answered).

Change: a client connection knows until when its answers may be undelivered (the latest deadline of what it was answered); until then it is not idle, keeps its lingering close, and keeps the process from exiting, within the drain limit. New connections give way. Clients that are dismissed for taking too little are not waited for.

Tests that changed: sigterm_before_any_node_list expected the exit 0.1 s after the last answer; a client waits for that one until 1.5 s, and both sides of that moment are checked now. The slow reader's end of stream expected a close over its unsent answers; it is a lingering close.

--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -2,7 +2,7 @@
 //! to be closed. No I/O: the reducer calls it, and what is to be written or closed is added to the effects.
 
 use crate::effects::{Effect, Peer, TrailingInput};
-use crate::lingering::LingeringConnections;
+use crate::lingering::{LingeringConnections, LingeringInput};
 use copperroute_protocol::clients::{Answer, Decoder, encode};
 use copperroute_routing::interface::{Nanos, RequestId, stable_hash};
 use std::collections::HashMap;
@@ -58,6 +58,9 @@
     /// The client takes its answers too slowly; its connection is closed once all received requests are
     /// answered.
     too_slow: bool,
+    /// The client may still wait for answers that were queued for it, until then: what a socket has taken is on its way,
+    /// and only the client's time for it tells when it is of no use any more.
+    undelivered_until: Nanos,
 }
 
 impl Client {
@@ -65,8 +68,9 @@
         self.queued_bytes.saturating_sub(self.written_bytes)
     }
 
-    fn is_idle(&self) -> bool {
-        self.open.is_empty() && self.unsent() == 0
+    /// Whether the client waits for nothing: no request is open, and no answer may be undelivered.
+    fn is_idle(&self, now: Nanos) -> bool {
+        self.open.is_empty() && self.unsent() == 0 && self.undelivered_until <= now
     }
 
     /// Accepts no new requests. Aborts are still handled.
@@ -148,10 +152,19 @@
         let late = |since: Nanos, span: Nanos| now.since(since) > span;
         (!self.has_sent_message && late(self.last_active, MESSAGE_TIMEOUT))
             || self.partial_since.is_some_and(|since| late(since, MESSAGE_TIMEOUT))
-            || (self.is_idle() && late(self.last_active, IDLE_TIMEOUT))
+            || (self.is_idle(now) && late(self.last_active, IDLE_TIMEOUT))
     }
 }
 
+/// What is left of a client that was removed from the table.
+struct RemovedClient {
+    open: Vec<RequestId>,
+    /// What to do with the bytes that it still sends: those of a client that can't be decoded hold no request to answer,
+    /// so they are discarded.
+    trailing_input: TrailingInput,
+    undelivered_until: Nanos,
+}
+
 /// The connections of all clients.
 #[derive(Debug, Default)]
 pub struct Clients {
@@ -208,6 +221,11 @@
         self.by_connection.get(&number).is_some_and(|client| client.slow)
     }
 
+    /// Whether the client's socket has not taken all that was queued for it.
+    pub fn has_unsent(&self, number: u32) -> bool {
+        self.by_connection.get(&number).is_some_and(|client| client.unsent() > 0)
+    }
+
     /// Queues an answer for a client, if it is still connected.
     pub fn write(
         &mut self,
@@ -229,6 +247,20 @@
         client.slow |= client.unsent() > SLOW_CLIENT_BYTES;
     }
 
+    /// A client was answered a request that it waits for until `deadline`.
+    pub fn answered_before(&mut self, number: u32, deadline: Nanos) {
+        if let Some(client) = self.by_connection.get_mut(&number) {
+            client.undelivered_until = client.undelivered_until.max(deadline);
+        }
+    }
+
+    /// A client takes what it is sent so slowly that it is no longer waited for.
+    pub fn give_up_delivery(&mut self, number: u32) {
+        if let Some(client) = self.by_connection.get_mut(&number) {
+            client.undelivered_until = Nanos::ZERO;
+        }
+    }
+
     /// Stops accepting requests from a client that takes its answers too slowly.
     pub fn mark_too_slow(&mut self, number: u32) {
         if let Some(client) = self.by_connection.get_mut(&number) {
@@ -246,41 +278,52 @@
         client.slow &= client.unsent() > SLOW_CLIENT_BYTES / 2;
     }
 
-    /// Removes a client; returns its open requests and what to do with the bytes that it still sends: those
-    /// of a client that can't be decoded hold no request to answer, so they are discarded.
-    fn take(&mut self, number: u32) -> Option<(Vec<RequestId>, TrailingInput)> {
+    /// Removes a client from the table.
+    fn take(&mut self, number: u32) -> Option<RemovedClient> {
         let client = self.by_connection.remove(&number)?;
         self.unsent -= client.unsent();
         let mut open: Vec<_> = client.open.into_values().collect();
         open.sort_by_key(|request_id| request_id.0);
-        Some((open, if client.unreadable { TrailingInput::Discard } else { TrailingInput::LeaveUnread }))
+        let trailing_input =
+            if client.unreadable { TrailingInput::Discard } else { TrailingInput::LeaveUnread };
+        Some(RemovedClient { open, trailing_input, undelivered_until: client.undelivered_until })
     }
 
     /// Closes a client's connection at once; returns its open requests.
     pub fn remove(&mut self, number: u32, effects: &mut Vec<Effect>) -> Vec<RequestId> {
         self.lingering.remove(number);
         effects.push(Effect::Close(Peer::Client(number)));
-        self.take(number).map(|(open, _)| open).unwrap_or_default()
+        self.take(number).map(|client| client.open).unwrap_or_default()
     }
 
     /// Closes a client's connection with a lingering close; returns its open requests.
     pub fn close_lingering(&mut self, number: u32, now: Nanos, effects: &mut Vec<Effect>) -> Vec<RequestId> {
-        let Some((open, trailing_input)) = self.take(number) else { return Vec::new() };
-        effects.push(Effect::CloseLingering(Peer::Client(number), trailing_input));
-        let displaced = self.lingering.begin(now, number);
+        let Some(client) = self.take(number) else { return Vec::new() };
+        effects.push(Effect::CloseLingering(Peer::Client(number), client.trailing_input));
+        let displaced = self.lingering.begin(now, number, client.undelivered_until);
         effects.extend(displaced.map(|oldest| Effect::Close(Peer::Client(oldest))));
-        open
+        client.open
     }
 
-    /// Closes all connections with a lingering close as the process exits.
-    pub fn close_all_lingering(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+    /// Closes all connections with a lingering close as the process exits, which it does at `exit_by` at the latest.
+    pub fn close_all_lingering(&mut self, now: Nanos, exit_by: Nanos, effects: &mut Vec<Effect>) {
         let mut numbers: Vec<_> = self.by_connection.keys().copied().collect();
         numbers.sort();
-        self.lingering.shorten_for_exit(now);
+        self.lingering.shorten_for_exit(now, exit_by);
         for number in numbers {
-            let Some((_, trailing_input)) = self.take(number) else { continue };
-            self.lingering.begin_at_exit(now, number);
-            effects.push(Effect::CloseLingering(Peer::Client(number), trailing_input));
+            let Some(client) = self.take(number) else { continue };
+            self.lingering.begin_at_exit(now, number, client.undelivered_until, exit_by);
+            effects.push(Effect::CloseLingering(Peer::Client(number), client.trailing_input));
+        }
+    }
+
+    /// A connection in a lingering close has sent bytes, which are dropped.
+    pub fn lingering_received(&mut self, number: u32, bytes: usize, now: Nanos, effects: &mut Vec<Effect>) {
+        let peer = Peer::Client(number);
+        match self.lingering.received(now, number, bytes) {
+            Some(LingeringInput::Close) => effects.push(Effect::Close(peer)),
+            Some(LingeringInput::LeaveUnread) => effects.push(Effect::SetReading(peer, false)),
+            Some(LingeringInput::Read) | None => {}
         }
     }
 
@@ -308,7 +351,7 @@
 
     /// Closes up to `max` idle connections, but not `except`, in the order in which they are to be closed.
     pub fn close_idle(&mut self, max: usize, except: Option<u32>, now: Nanos, effects: &mut Vec<Effect>) {
-        let idle = self.by_connection.iter().filter(|(number, c)| c.is_idle() && Some(**number) != except);
+        let idle = self.by_connection.iter().filter(|(number, c)| c.is_idle(now) && Some(**number) != except);
         let mut idle: Vec<_> = idle.map(|(number, c)| (c.close_order(now), *number)).collect();
         idle.sort();
         for (_, number) in idle.into_iter().take(max) {
@@ -316,10 +359,11 @@
         }
     }
 
-    /// While there are more connections than `max`, closes those in a lingering close, oldest first.
-    pub fn limit_lingering(&mut self, max: usize, effects: &mut Vec<Effect>) {
+    /// While there are more connections than `max`, closes those in a lingering close, oldest first, but none with
+    /// undelivered answers.
+    pub fn limit_lingering(&mut self, max: usize, now: Nanos, effects: &mut Vec<Effect>) {
         while self.count() > max
-            && let Some(number) = self.lingering.pop_oldest()
+            && let Some(number) = self.lingering.pop_delivered(now)
         {
             effects.push(Effect::Close(Peer::Client(number)));
         }
@@ -333,14 +377,14 @@
             self.take(number);
             effects.push(Effect::Close(Peer::Client(number)));
         }
-        while let Some(number) = self.lingering.pop_older_than(now, RECENT) {
+        while let Some(number) = self.lingering.pop_delivered_older_than(now, RECENT) {
             effects.push(Effect::Close(Peer::Client(number)));
         }
     }
 
     /// Up to `max` connections that have been idle for a while, in the order in which they are to be closed.
     pub fn idle(&self, max: usize, now: Nanos) -> Vec<u32> {
-        let is_idle = |client: &Client| client.is_idle() && now.since(client.last_active) >= RECENT;
+        let is_idle = |client: &Client| client.is_idle(now) && now.since(client.last_active) >= RECENT;
         let idle = self.by_connection.iter().filter(|(_, client)| is_idle(client));
         let mut idle: Vec<_> = idle.map(|(number, c)| (c.close_order(now), *number)).collect();
         idle.sort();
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -16,7 +16,7 @@
             );
         }
         // The change log and the nodes need descriptors, however many clients connect.
-        self.request_table.clients.limit_lingering(self.max_clients(), &mut self.request_table.effects);
+        self.request_table.clients.limit_lingering(self.max_clients(), now, &mut self.request_table.effects);
         if self.request_table.clients.count() > self.max_clients() {
             self.client_warnings.warn(now, format_args!("client {number}: too many connections, closed"));
             self.close_client(now, number);
@@ -26,10 +26,8 @@
     pub(super) fn client_received(&mut self, now: Nanos, number: u32, bytes: &[u8]) {
         let was_unread = self.request_table.input_delay > Nanos::ZERO;
         let Some(client) = self.request_table.clients.get_mut(number) else {
-            if self.request_table.clients.lingering.received(number, bytes.len()) {
-                self.request_table.effects.push(Effect::Close(Peer::Client(number)));
-            }
-            return;
+            let RequestTable { clients, effects, .. } = &mut self.request_table;
+            return clients.lingering_received(number, bytes.len(), now, effects);
         };
         if client.is_unreadable() {
             return;
@@ -60,6 +58,10 @@
             | Message::Health(tag)) = message;
             let (open, open_count) = (client.open.get(&tag).copied(), client.open.len());
             let client_is_closing = client.is_closing();
+            let timeout_ms = match &message {
+                Message::Request(_, request) => request.timeout_ms,
+                _ => 0,
+            };
             match message {
                 Message::Abort(_) => {
                     open.into_iter().for_each(|request| self.abandon(now, request));
@@ -70,7 +72,7 @@
                     if self.request_table.is_memory_exhausted_for(number) {
                         self.request_table.clients.mark_too_slow(number);
                     }
-                    self.request_table.write(number, tag, Answer::Rejected(None));
+                    self.reject(now, number, tag, timeout_ms);
                 }
                 _ if client_is_closing => {}
                 // Two answers under one tag could not be told apart.
@@ -83,7 +85,7 @@
                     self.client_warnings
                         .warn(now, format_args!("client {number}: takes its answers too slowly, closed"));
                     self.request_table.clients.mark_too_slow(number);
-                    self.request_table.write(number, tag, Answer::Rejected(None));
+                    self.reject(now, number, tag, timeout_ms);
                 }
                 // Rejected on shutdown, when memory is short and above the protocol's limit: the request has
                 // not run, so it may safely be retried.
@@ -92,7 +94,7 @@
                         || self.request_table.is_memory_short_for(number)
                         || open_count >= MAX_OPEN_REQUESTS =>
                 {
-                    self.request_table.write(number, tag, Answer::Rejected(None));
+                    self.reject(now, number, tag, timeout_ms);
                 }
                 Message::Request(_, request) => self.request_arrived(now, number, tag, *request),
                 Message::Unusable(_, why) => {
@@ -110,6 +112,18 @@
         }
     }
 
+    /// Rejects a request that has not run. Its client may wait for `timeout_ms`.
+    fn reject(&mut self, now: Nanos, client: u32, tag: u64, timeout_ms: u64) {
+        let deadline = self.answer_deadline(now, timeout_ms);
+        self.request_table.write_awaited(client, tag, Answer::Rejected(None), deadline);
+    }
+
+    /// When a client that may wait for `timeout_ms` stops waiting for the answer to a request received now.
+    fn answer_deadline(&self, now: Nanos, timeout_ms: u64) -> Nanos {
+        let timeout = Nanos(timeout_ms.saturating_mul(1_000_000)).min(self.longest_timeout());
+        now.after(timeout.since(self.request_table.input_delay))
+    }
+
     /// The content type of a request that the settings allow, or why they don't.
     pub(super) fn validate(&self, request: &Request) -> Result<u32, String> {
         let name = &request.content_type;
@@ -138,12 +152,14 @@
             (Verdict::New, Ok(content_type)) => content_type,
             (Verdict::New, Err(why)) => {
                 self.client_warnings.warn(now, format_args!("client {client}: {why}"));
-                return self.request_table.write(client, tag, Answer::Failed);
+                let deadline = self.answer_deadline(now, request.timeout_ms);
+                return self.request_table.write_awaited(client, tag, Answer::Failed, deadline);
             }
             (Verdict::Duplicate, _) => {
                 self.client_warnings
                     .warn(now, format_args!("client {client}: req: {} is a duplicate", request.id));
-                return self.request_table.write(client, tag, Answer::Failed);
+                let deadline = self.answer_deadline(now, request.timeout_ms);
+                return self.request_table.write_awaited(client, tag, Answer::Failed, deadline);
             }
         };
         // Rules that came into force later may shorten the timeout, whatever the client asked for.
@@ -356,16 +372,21 @@
     }
 
     /// A client sends no more. Most such clients have disconnected, so their requests are abandoned; one that
-    /// still reads receives a failure at once.
+    /// still reads receives a failure at once, and before it what its socket has not taken yet.
     pub(super) fn client_finished_sending(&mut self, now: Nanos, number: u32) {
+        let has_unsent = self.request_table.clients.has_unsent(number);
         self.fail_open_requests(now, number);
-        self.client_closed(now, number);
+        match has_unsent {
+            true => self.close_client(now, number),
+            false => self.client_closed(now, number),
+        }
     }
 
     /// Dismisses a client that takes its answers too slowly: all its requests are answered with a failure,
     /// and its connection is closed.
     pub(super) fn dismiss_client(&mut self, now: Nanos, number: u32) {
         self.fail_open_requests(now, number);
+        self.request_table.clients.give_up_delivery(number);
         self.close_client(now, number);
     }
 
@@ -376,8 +397,9 @@
         let mut open: Vec<_> = open.into_iter().collect();
         open.sort_by_key(|(tag, _)| *tag);
         for (tag, request_id) in open {
+            let deadline = self.request_table.deadline_of(request_id).unwrap_or(now);
             self.abandon(now, request_id);
-            self.request_table.write(number, tag, Answer::Failed);
+            self.request_table.write_awaited(number, tag, Answer::Failed, deadline);
         }
     }
 }
--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -9,7 +9,6 @@
 use crate::config::{AgreementConfig, Config};
 use crate::effects::{Effect, Event, Peer, TimerKind};
 use crate::external_time::ExternalTime;
-use crate::lingering::EXIT_LINGER_TIMEOUT;
 use crate::local_cache::{self, LocalAnswer, LocalCache, OfferedCopy};
 use crate::logs::LogRateLimiter;
 use crate::node_list_snapshot::NodeListSnapshot;
@@ -38,22 +37,12 @@
 mod event_times;
 mod reload;
 mod routing_notifications;
+mod shutdown;
 mod staleness;
 mod timers;
 
 use staleness::StalenessReport;
 
-/// After the termination signal, no new requests arrive once this has passed.
-const INTAKE_PERIOD: Nanos = Nanos(750_000_000);
-/// After the termination signal, every request must be answered once this much more than the longest timeout
-/// has passed, of which at most [`MAX_DRAIN_TIMEOUT`] counts. The last requests arrive 0.6 s after the signal;
-/// 0.7 s after the longest timeout the process is no longer waited for.
-const DRAIN_MARGIN: Nanos = Nanos(500_000_000);
-/// The most of the longest timeout that counts for [`DRAIN_MARGIN`].
-const MAX_DRAIN_TIMEOUT: Nanos = Nanos(3_000_000_000);
-/// Requests are answered for at least this long after the signal, however short the longest timeout is, so
-/// that the last ones to arrive are still served.
-const MIN_DRAIN_TIMEOUT: Nanos = Nanos(620_000_000);
 /// The longest time that a line of the change log may take to arrive.
 const MAX_LINE_DELAY: Nanos = Nanos(1_000_000_000);
 /// The longest time that a heartbeat of one of two streams may take to arrive, unless an agreement states it.
@@ -92,6 +81,8 @@
     drained: bool,
     /// Shutdown: all client connections are being closed.
     clients_closing: bool,
+    /// Shutdown: the process exits by then.
+    exit_by: Nanos,
     /// The local cache, if it is enabled.
     local_cache: Option<LocalCache>,
     /// Requests that wait for the disk, by slot; the routing policy does not know of them yet.
@@ -163,6 +154,7 @@
             intake_ended: false,
             drained: false,
             clients_closing: false,
+            exit_by: Nanos::ZERO,
             client_warnings: LogRateLimiter::default(),
             duplicate_filter: DuplicateFilter::new(longest_expiry(&config), MAX_IDS),
             config,
@@ -228,25 +220,9 @@
                 self.change_log.closed(number, now, &mut self.request_table.effects);
                 self.process_change_log(now);
             }
-            Event::FinalReadDone => {
-                self.request_table.clients.close_all_lingering(now, &mut self.request_table.effects);
-                self.clients_closing = true;
-                self.request_table
-                    .effects
-                    .push(Effect::Arm(now.after(EXIT_LINGER_TIMEOUT), TimerKind::LingerDeadline));
-            }
+            Event::FinalReadDone => self.close_clients_for_exit(now),
             Event::TimerFired(timer) => self.timer_fired(now, timer),
-            Event::Terminate => {
-                if self.lifecycle.move_to(Phase::Draining) {
-                    let drain_timeout = self.longest_timeout().min(MAX_DRAIN_TIMEOUT).after(DRAIN_MARGIN);
-                    let drain_timeout = drain_timeout.max(MIN_DRAIN_TIMEOUT);
-                    let timers =
-                        [(INTAKE_PERIOD, TimerKind::IntakeEnd), (drain_timeout, TimerKind::DrainDeadline)];
-                    self.request_table
-                        .effects
-                        .extend(timers.map(|(span, timer)| Effect::Arm(now.after(span), timer)));
-                }
-            }
+            Event::Terminate => self.begin_draining(now),
             Event::Reload(config) => self.reload(now, config),
             Event::DiskReady(fingerprints, marked) => {
                 self.last_marked_event = marked;
--- a/crates/dispatcher/src/request_table/mod.rs
+++ b/crates/dispatcher/src/request_table/mod.rs
@@ -23,6 +23,7 @@
 
 mod actions;
 mod attempts;
+mod clients;
 mod node_list;
 
 use std::collections::{HashSet, VecDeque};
@@ -217,6 +218,11 @@
         self.pending.get(request_id.0).map_or(0, |pending| pending.generation)
     }
 
+    /// When the client of an open request stops waiting for its answer.
+    pub fn deadline_of(&self, request_id: RequestId) -> Option<Nanos> {
+        self.pending.get(request_id.0).map(|pending| pending.deadline)
+    }
+
     /// The object, the part and the tag of the client's cached copy that an open request names.
     pub fn requested_copy(&self, request_id: RequestId) -> Option<(Hex, u64, Option<Hex>)> {
         self.pending
@@ -236,72 +242,6 @@
         self.open_ids.contains(&id)
     }
 
-    /// Queues an answer for a client, if it is still connected.
-    pub fn write(&mut self, client: u32, tag: u64, answer: Answer<'_>) {
-        self.clients.write(client, tag, answer, self.now, &mut self.effects);
-        self.update_node_reads();
-    }
-
-    /// Bytes for a client have left, `total` since it connected.
-    pub fn client_written(&mut self, client: u32, total: u64) {
-        self.clients.written(client, total, self.now);
-        self.update_node_reads();
-    }
-
-    /// Closes a client's connection at once; returns its open requests.
-    pub fn remove_client(&mut self, client: u32) -> Vec<RequestId> {
-        let open = self.clients.remove(client, &mut self.effects);
-        self.update_node_reads();
-        open
-    }
-
-    /// Closes a client's connection with a lingering close; returns its open requests.
-    pub fn close_client_lingering(&mut self, client: u32) -> Vec<RequestId> {
-        let open = self.clients.close_lingering(client, self.now, &mut self.effects);
-        self.update_node_reads();
-        open
-    }
-
-    /// Closes a client's connection once its earlier requests are answered; used after a violation of the
-    /// protocol.
-    pub fn close_when_answered(&mut self, client: u32) {
-        if let Some(client) = self.clients.get_mut(client) {
-            client.close_when_answered();
-        }
-        self.close_if_answered(client);
-    }
-
-    /// The same for a client whose input can't be decoded any more.
-    pub fn mark_client_unreadable(&mut self, client: u32) {
-        if let Some(client) = self.clients.get_mut(client) {
-            client.mark_unreadable();
-        }
-        self.close_if_answered(client);
-    }
-
-    /// Closes a connection that accepts no new requests once none is open on it.
-    pub fn close_if_answered(&mut self, client: u32) {
-        if self.clients.get_mut(client).is_some_and(|client| client.can_close()) {
-            self.close_client_lingering(client);
-        }
-    }
-
-    /// Whether memory is short and this client is slow, so that its requests are rejected.
-    pub fn is_memory_short_for(&self, client: u32) -> bool {
-        self.clients.unsent() > self.max_unsent_bytes / 2 && self.clients.is_slow(client)
-    }
-
-    /// Whether the memory for clients is used up and this client is slow.
-    pub fn is_memory_exhausted_for(&self, client: u32) -> bool {
-        self.clients.unsent() > self.max_unsent_bytes && self.clients.is_slow(client)
-    }
-
-    /// Stops reading from nodes while clients take too little: what nodes hold back takes no memory here.
-    fn update_node_reads(&mut self) {
-        let max = self.max_unsent_bytes / if self.nodes.reads_paused() { 2 } else { 1 };
-        self.nodes.pause_reads(self.clients.unsent() > max, &mut self.effects);
-    }
-
     /// Records that a request needs no answer any more; returns the client's connection and tag if it still
     /// did.
     fn mark_answered(&mut self, request_id: RequestId) -> Option<(u32, u64)> {
@@ -320,7 +260,8 @@
             log::debug!(target: TRACE, "{} answered {}", pending.request.id, answer.word());
         }
         if let Some((client, tag)) = self.mark_answered(request_id) {
-            self.write(client, tag, answer);
+            let deadline = self.pending.get(request_id.0).map_or(self.now, |pending| pending.deadline);
+            self.write_awaited(client, tag, answer, deadline);
             self.close_if_answered(client);
         }
     }
