Memory held for clients' requests has one owner and a bound; what does not fit is BUSY

Missing invariant: every byte held for a peer is counted by one owner against memory_mb, before it is held. Cause: only output that waits for clients was counted; bodies of open requests, incomplete requests, what waits for nodes and output of lingering connections were not. Ruled out: tables that grow by names (3.3 MB after four seconds of ever new ids and objects at full speed, before and after).

Change: memory.rs holds the shares of the limit, the request table reports to it. New requests are BUSY where a client holds more than is free altogether, or nothing is free; a body that does not fit is dropped as it arrives and its request answered BUSY once complete, so that nothing taken is lost.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lingering;
 pub mod local_cache;
 pub mod logs;
+pub mod memory;
 pub mod node_list_snapshot;
 pub mod nodes;
 pub mod phases;
--- a/crates/dispatcher/src/lingering.rs
+++ b/crates/dispatcher/src/lingering.rs
@@ -34,6 +34,22 @@
     /// The client may still wait for answers that it was sent, until then.
     undelivered_until: Nanos,
     bytes: u64,
+    /// Output that its socket has not taken yet, in bytes, and all that was queued for it.
+    unsent: u64,
+    queued_bytes: u64,
+}
+
+/// A connection that begins to linger.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LingeringStart {
+    /// The number of the connection.
+    pub number: u32,
+    /// The client may still wait for answers that it was sent, until then.
+    pub undelivered_until: Nanos,
+    /// The bytes that were queued for it, and those that its socket has not taken yet (`unsent`).
+    pub queued_bytes: u64,
+    /// See `queued_bytes`.
+    pub unsent: u64,
 }
 
 /// What is to be done with a lingering connection that has sent bytes.
@@ -65,11 +81,10 @@
         self.connections.len()
     }
 
-    /// A connection begins to linger; the client may wait for answers until `undelivered_until`. Returns the oldest
-    /// one without undelivered answers, to be closed, if there are too many.
-    pub fn begin(&mut self, now: Nanos, number: u32, undelivered_until: Nanos) -> Option<u32> {
-        let until = now.after(LINGER_TIMEOUT).max(undelivered_until);
-        self.push(now, number, until, undelivered_until);
+    /// A connection begins to linger. Returns the oldest one without undelivered answers, to be closed, if there are too
+    /// many.
+    pub fn begin(&mut self, now: Nanos, start: LingeringStart) -> Option<u32> {
+        self.push(now, start, now.after(LINGER_TIMEOUT).max(start.undelivered_until));
         if self.connections.len() <= self.max_count { None } else { self.pop_delivered(now) }
     }
 
@@ -82,17 +97,37 @@
     }
 
     /// A connection begins to linger as the program ends; their number is not limited then.
-    pub fn begin_at_exit(&mut self, now: Nanos, number: u32, undelivered_until: Nanos, exit_by: Nanos) {
-        self.push(now, number, Self::exit_limit(now, undelivered_until, exit_by), undelivered_until);
+    pub fn begin_at_exit(&mut self, now: Nanos, start: LingeringStart, exit_by: Nanos) {
+        self.push(now, start, Self::exit_limit(now, start.undelivered_until, exit_by));
     }
 
     fn exit_limit(now: Nanos, undelivered_until: Nanos, exit_by: Nanos) -> Nanos {
         now.after(EXIT_LINGER_TIMEOUT).max(undelivered_until.min(exit_by))
     }
 
-    fn push(&mut self, now: Nanos, number: u32, until: Nanos, undelivered_until: Nanos) {
-        let connection = LingeringConnection { number, since: now, until, undelivered_until, bytes: 0 };
-        self.connections.push_back(connection);
+    fn push(&mut self, now: Nanos, start: LingeringStart, until: Nanos) {
+        let LingeringStart { number, undelivered_until, queued_bytes, unsent } = start;
+        self.connections.push_back(LingeringConnection {
+            number,
+            since: now,
+            until,
+            undelivered_until,
+            bytes: 0,
+            unsent,
+            queued_bytes,
+        });
+    }
+
+    /// The bytes that the sockets of all lingering connections have not taken yet.
+    pub fn unsent(&self) -> u64 {
+        self.connections.iter().map(|connection| connection.unsent).sum()
+    }
+
+    /// Bytes for a lingering connection have left, `total` since it connected.
+    pub fn written(&mut self, number: u32, total: u64) {
+        if let Some(connection) = self.connections.iter_mut().find(|connection| connection.number == number) {
+            connection.unsent = connection.queued_bytes.saturating_sub(total);
+        }
     }
 
     /// When the last connection is closed at the latest; `None` if none lingers.
--- a/crates/dispatcher/src/nodes/connections.rs
+++ b/crates/dispatcher/src/nodes/connections.rs
@@ -214,6 +214,11 @@
         effects.extend(numbers.into_iter().map(|number| Effect::SetReading(Peer::Node(number), !paused)));
     }
 
+    /// The bytes that wait to be written to nodes.
+    pub fn unsent_bytes(&self) -> u64 {
+        self.connections.values().map(|c| c.bytes_queued.saturating_sub(c.bytes_written)).sum()
+    }
+
     /// Whether reading from nodes is paused.
     pub fn reads_paused(&self) -> bool {
         self.reads_paused
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -40,7 +40,8 @@
                 Ok(Some(message)) => message,
                 Ok(None) => {
                     client.all_decoded(now, was_unread);
-                    if client.is_too_slow() {
+                    self.request_table.limit_input(number);
+                    if self.request_table.clients.is_too_slow(number) {
                         self.dismiss_client(now, number);
                     }
                     return self.request_table.close_if_answered(number);
@@ -53,6 +54,7 @@
             };
             client.message_received(now);
             let (Message::Request(tag, _)
+            | Message::WithoutBody(tag, _)
             | Message::Unusable(tag, _)
             | Message::Abort(tag)
             | Message::Health(tag)) = message;
@@ -60,6 +62,7 @@
             let client_is_closing = client.is_closing();
             let timeout_ms = match &message {
                 Message::Request(_, request) => request.timeout_ms,
+                Message::WithoutBody(_, timeout_ms) => *timeout_ms,
                 _ => 0,
             };
             match message {
@@ -68,7 +71,9 @@
                     self.request_table.close_if_answered(number);
                 }
                 // No new requests are accepted, but every one that was read is answered.
-                Message::Request(..) | Message::Unusable(..) if client_is_closing && open.is_none() => {
+                Message::Request(..) | Message::WithoutBody(..) | Message::Unusable(..)
+                    if client_is_closing && open.is_none() =>
+                {
                     if self.request_table.is_memory_exhausted_for(number) {
                         self.request_table.clients.mark_too_slow(number);
                     }
@@ -81,7 +86,9 @@
                         .warn(now, format_args!("client {number}: tag {tag} is open already"));
                     self.request_table.close_when_answered(number);
                 }
-                Message::Request(..) if self.request_table.is_memory_exhausted_for(number) => {
+                Message::Request(..) | Message::WithoutBody(..)
+                    if self.request_table.is_memory_exhausted_for(number) =>
+                {
                     self.client_warnings
                         .warn(now, format_args!("client {number}: takes its answers too slowly, closed"));
                     self.request_table.clients.mark_too_slow(number);
@@ -89,10 +96,12 @@
                 }
                 // Rejected on shutdown, when memory is short and above the protocol's limit: the request has
                 // not run, so it may safely be retried.
-                Message::Request(..)
+                Message::WithoutBody(..) => self.reject(now, number, tag, timeout_ms),
+                Message::Request(_, ref request)
                     if self.lifecycle.phase() >= Phase::Closing
-                        || self.request_table.is_memory_short_for(number)
-                        || open_count >= MAX_OPEN_REQUESTS =>
+                        || self.request_table.has_no_memory_for_answers(number)
+                        || open_count >= MAX_OPEN_REQUESTS
+                        || !self.request_table.has_memory_for(number, request) =>
                 {
                     self.reject(now, number, tag, timeout_ms);
                 }
--- a/crates/dispatcher/src/request_table/actions.rs
+++ b/crates/dispatcher/src/request_table/actions.rs
@@ -70,6 +70,8 @@
     fn release(&mut self, request_id: RequestId) {
         if let Some(pending) = self.pending.get(request_id.0) {
             self.open_ids.remove(&pending.request.id);
+            self.request_bytes -= pending.memory_bytes;
+            self.clients.request_released(pending.client, pending.memory_bytes);
         }
         self.pending.remove(request_id.0);
         self.request_ids.release(request_id.0);
--- a/crates/dispatcher/src/request_table/clients.rs
+++ b/crates/dispatcher/src/request_table/clients.rs
@@ -60,19 +60,57 @@
         }
     }
 
-    /// Whether memory is short and this client is slow, so that its requests are rejected.
+    /// Whether memory for output is short and this client is slow, so that it is sent no further content.
     pub fn is_memory_short_for(&self, client: u32) -> bool {
-        self.clients.unsent() > self.max_unsent_bytes / 2 && self.clients.is_slow(client)
+        self.clients.unsent() > self.memory.output / 2 && self.clients.is_slow(client)
     }
 
-    /// Whether the memory for clients is used up and this client is slow.
+    /// Whether memory for output is short and this client is slow or holds much of it, so that its requests are rejected.
+    pub fn has_no_memory_for_answers(&self, client: u32) -> bool {
+        let (all, unsent) = (self.clients.unsent(), self.clients.unsent_of(client));
+        self.is_memory_short_for(client) || self.memory.is_output_short(all, unsent)
+    }
+
+    /// Whether the memory for output is used up and this client holds much of it.
     pub fn is_memory_exhausted_for(&self, client: u32) -> bool {
-        self.clients.unsent() > self.max_unsent_bytes && self.clients.is_slow(client)
+        let (all, unsent) = (self.clients.unsent(), self.clients.unsent_of(client));
+        (all > self.memory.output && self.clients.is_slow(client))
+            || self.memory.is_output_exhausted(all, unsent, self.clients.count())
+    }
+
+    /// The memory that a request takes while it is open.
+    pub(super) fn memory_of(request: &Request) -> u64 {
+        request.body.capacity() as u64 + OPEN_REQUEST_BYTES
+    }
+
+    /// The memory that requests take: incomplete ones, open ones, and what of them waits to be sent to nodes.
+    fn held_for_requests(&self) -> u64 {
+        self.clients.input_bytes() + self.request_bytes + self.nodes.unsent_bytes()
+    }
+
+    /// Whether there is memory for a request of a client.
+    pub fn has_memory_for(&self, client: u32, request: &Request) -> bool {
+        let held_by_client = self.clients.held_by(client);
+        self.memory.admits_request(self.held_for_requests(), held_by_client, Self::memory_of(request))
+    }
+
+    /// All whole messages of a client are decoded: counts what is left, and discards an incomplete body for which there is
+    /// no memory. Its request is rejected once it is complete.
+    pub fn limit_input(&mut self, client: u32) {
+        self.clients.count_input(client);
+        let held_by_client = self.clients.held_by(client);
+        if self.memory.admits_request(self.held_for_requests(), held_by_client, 0) {
+            return;
+        }
+        if let Some(client) = self.clients.get_mut(client) {
+            client.decoder.discard_body();
+        }
+        self.clients.count_input(client);
     }
 
     /// Stops reading from nodes while clients take too little: what nodes hold back takes no memory here.
     fn update_node_reads(&mut self) {
-        let max = self.max_unsent_bytes / if self.nodes.reads_paused() { 2 } else { 1 };
+        let max = self.memory.output / if self.nodes.reads_paused() { 2 } else { 1 };
         self.nodes.pause_reads(self.clients.unsent() > max, &mut self.effects);
     }
 }
--- a/crates/dispatcher/src/request_table/mod.rs
+++ b/crates/dispatcher/src/request_table/mod.rs
@@ -8,6 +8,7 @@
 use crate::effects::{Effect, TimerKind};
 use crate::external_time::CopyTime;
 use crate::local_cache::{self, OfferedCopy};
+use crate::memory::{MemoryBudget, OPEN_REQUEST_BYTES};
 use crate::nodes::{AttemptId, NextMessage, NodePool, NodeStart, Nodes, ProbeCounts};
 use copperroute_cache_store::record::Facts;
 use copperroute_protocol::clients::{Answer, Request};
@@ -28,10 +29,6 @@
 
 use std::collections::{HashSet, VecDeque};
 
-/// One part in this many of the memory is for output that waits for clients. Above half of that, slow clients
-/// receive no further content and their new requests are rejected; above all of it, nodes are not read from
-/// until half has left.
-const UNSENT_MEMORY_DIVISOR: u64 = 4;
 /// Connections to nodes may take one part in this many of the descriptors before attempts must share them.
 const NODE_DESCRIPTOR_DIVISOR: usize = 4;
 /// An attempt with less time left than this is not sent: the protocol carries whole milliseconds, and no node
@@ -68,6 +65,8 @@
     client: u32,
     tag: u64,
     request: Request,
+    /// The memory that it takes while it is open.
+    memory_bytes: u64,
     deadline: Nanos,
     /// The request as it was passed to the routing policy; `None` until then.
     routing_request: Option<RoutingRequest>,
@@ -108,7 +107,9 @@
     objects: Ids<(Hex, u64)>,
     /// The ids of the open requests.
     open_ids: HashSet<Hex>,
-    max_unsent_bytes: u64,
+    memory: MemoryBudget,
+    /// The memory that open requests take.
+    request_bytes: u64,
     /// Received copies are collected in `offered` for the local cache.
     pub collects_copies: bool,
     /// Copies received since this was last emptied, with the requests for which they came.
@@ -139,7 +140,8 @@
             owed_answers: 0,
             objects: Ids::default(),
             open_ids: HashSet::new(),
-            max_unsent_bytes: limits.memory_mb * 1024 * 1024 / UNSENT_MEMORY_DIVISOR,
+            memory: MemoryBudget::new(limits.memory_mb),
+            request_bytes: 0,
             collects_copies: false,
             offered: Vec::new(),
             copy_times: Vec::new(),
@@ -151,7 +153,7 @@
 
     /// Applies new limits.
     pub fn set_limits(&mut self, connections: ConnectionLimits, limits: Limits) {
-        self.max_unsent_bytes = limits.memory_mb * 1024 * 1024 / UNSENT_MEMORY_DIVISOR;
+        self.memory = MemoryBudget::new(limits.memory_mb);
         self.clients.lingering.set_descriptor_limit(limits.sockets as usize);
         self.nodes.set_limits(connections, limits.sockets as usize / NODE_DESCRIPTOR_DIVISOR);
     }
@@ -190,9 +192,9 @@
         let (id, content_type, part) = (request.id, &request.content_type, request.part);
         let (object_id, ms) = (request.object, request.timeout_ms);
         log::debug!(target: TRACE, "{id} accepted from client {client}: {content_type} {object_id} part {part} in {ms} ms");
-        if let Some(client) = self.clients.get_mut(client) {
-            client.open.insert(tag, request_id);
-        }
+        let memory_bytes = Self::memory_of(&request);
+        self.request_bytes += memory_bytes;
+        self.clients.request_opened(client, tag, request_id, memory_bytes);
         let (generation, attempts) = (self.generation, Vec::new());
         self.pending.put(
             request_id.0,
@@ -201,6 +203,7 @@
                 client,
                 tag,
                 request,
+                memory_bytes,
                 deadline,
                 routing_request: None,
                 expects_copy,
--- a/crates/dispatcher/tests/dispatcher/unsent.rs
+++ b/crates/dispatcher/tests/dispatcher/unsent.rs
@@ -2,7 +2,7 @@
 
 use crate::common::{CONFIG, LOOPBACK, Play, message, request};
 use copperroute_dispatcher::effects::{Event, Peer};
-use copperroute_dispatcher::lingering::{LingeringConnections, LingeringInput};
+use copperroute_dispatcher::lingering::{LingeringConnections, LingeringInput, LingeringStart};
 use copperroute_routing::interface::Nanos;
 use expect_test::expect;
 
@@ -271,12 +271,16 @@
     assert_eq!(words, ["UP", "DOWN", "UP"], "{trace}");
 }
 
+fn without_answers(number: u32) -> LingeringStart {
+    LingeringStart { number, ..LingeringStart::default() }
+}
+
 #[test]
 fn a_lingering_close_is_bounded_in_time_bytes_and_number() {
     let (now, later) = (Nanos(5_000_000_000), Nanos(6_000_000_000));
     let mut lingering = LingeringConnections::default();
     lingering.set_descriptor_limit(64);
-    let closed: Vec<_> = (1..=6).filter_map(|number| lingering.begin(now, number, Nanos::ZERO)).collect();
+    let closed: Vec<_> = (1..=6).filter_map(|number| lingering.begin(now, without_answers(number))).collect();
     // At most four linger, whatever the descriptor limit; a further one closes the oldest.
     assert_eq!((closed, lingering.count()), (vec![1, 2], 4));
     assert_eq!(lingering.received(now, 3, 500_000), Some(LingeringInput::Read));
@@ -296,10 +300,14 @@
     let (now, answered_by) = (Nanos(5_000_000_000), Nanos(8_000_000_000));
     let mut lingering = LingeringConnections::default();
     lingering.set_descriptor_limit(64);
-    let closed: Vec<_> = (1..=6).filter_map(|number| lingering.begin(now, number, answered_by)).collect();
+    let closed: Vec<_> = (1..=6)
+        .filter_map(|number| {
+            lingering.begin(now, LingeringStart { undelivered_until: answered_by, ..without_answers(number) })
+        })
+        .collect();
     assert_eq!((closed, lingering.count()), (vec![], 6));
     // One without answers is closed in their place.
-    assert_eq!(lingering.begin(now, 7, Nanos::ZERO), Some(7));
+    assert_eq!(lingering.begin(now, without_answers(7)), Some(7));
     assert_eq!(lingering.received(now, 3, 1 << 30), Some(LingeringInput::LeaveUnread));
     assert_eq!(lingering.pop_delivered(now), None);
     lingering.shorten_for_exit(now, Nanos(7_000_000_000));
--- a/crates/dispatcher/tests/memory/main.rs
+++ b/crates/dispatcher/tests/memory/main.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)]
 #[path = "../dispatcher/common.rs"]
 mod common;
+mod input;
 mod memory_watch;
 mod output;
 #[allow(dead_code)]
--- a/crates/protocol/src/clients.rs
+++ b/crates/protocol/src/clients.rs
@@ -46,6 +46,8 @@
 pub enum Message {
     /// A request under a tag.
     Request(u64, Box<Request>),
+    /// A request whose body was discarded, and how long the client waits for the answer, in milliseconds.
+    WithoutBody(u64, u64),
     /// A complete request whose fields can't be used, and why.
     Unusable(u64, String),
     /// The client no longer waits for the request under a tag.
@@ -80,8 +82,13 @@
     /// The length of the current item, once it is known.
     item_length: Option<usize>,
     items: Vec<Vec<u8>>,
+    /// How much of the current item, which is discarded, and of its line end has not arrived.
+    discarded_left: Option<usize>,
 }
 
+/// The place of a request's body among its items.
+const BODY_ITEM: usize = 4;
+
 fn parse_length(line: &str, mark: char, limit: usize) -> Result<usize, DecodeError> {
     let number = line.strip_prefix(mark).and_then(|number| parse_decimal(number, limit as u64));
     let expected = || DecodeError(format!("expected '{mark}' and a length up to {limit}, found '{line}'"));
@@ -150,9 +157,28 @@
         self.incoming.release_spare_memory();
     }
 
-    /// The number of buffered bytes of incomplete messages.
-    pub fn buffered_bytes(&self) -> usize {
-        self.incoming.len() + self.items.iter().map(Vec::len).sum::<usize>()
+    /// The memory that incomplete messages take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.incoming.held_bytes() + self.items.iter().map(Vec::capacity).sum::<usize>()
+    }
+
+    /// Discards the body that is being received, if it is: what has arrived of it and what follows.
+    pub fn discard_body(&mut self) {
+        if let Some(length) = self.item_length.filter(|_| self.items.len() == BODY_ITEM)
+            && self.discarded_left.is_none()
+        {
+            self.discarded_left = Some(length + 2);
+            self.skip_discarded();
+            self.incoming.release_spare_memory();
+        }
+    }
+
+    /// Drops what has arrived of a discarded item; returns whether that was the rest of it.
+    fn skip_discarded(&mut self) -> bool {
+        let Some(left) = self.discarded_left else { return false };
+        let left = left - self.incoming.skip(left);
+        self.discarded_left = Some(left);
+        left == 0
     }
 
     /// Decodes the next complete message; after an error the connection can't be decoded further.
@@ -169,14 +195,25 @@
                 let Some(line) = self.incoming.take_line(MAX_LINE_BYTES)? else { return Ok(None) };
                 self.item_length = Some(parse_length(&line, '$', MAX_ITEM_BYTES[self.items.len()])?);
             }
-            let Some(item) = self.incoming.take_block(self.item_length.unwrap_or_default())? else {
-                return Ok(None);
-            };
+            let Some(item) = self.next_item()? else { return Ok(None) };
             self.items.push(item);
             self.item_length = None;
             self.items_left -= 1;
         }
-        Self::parse_message(std::mem::take(&mut self.items)).map(Some)
+        let message = Self::parse_message(std::mem::take(&mut self.items))?;
+        let is_discarded = self.discarded_left.take().is_some();
+        Ok(Some(match message {
+            Message::Request(tag, request) if is_discarded => Message::WithoutBody(tag, request.timeout_ms),
+            message => message,
+        }))
+    }
+
+    /// Takes the current item; an empty one in place of one that is discarded.
+    fn next_item(&mut self) -> Result<Option<Vec<u8>>, DecodeError> {
+        if self.discarded_left.is_some() {
+            return Ok(self.skip_discarded().then(Vec::new));
+        }
+        self.incoming.take_block(self.item_length.unwrap_or_default())
     }
 
     fn parse_message(items: Vec<Vec<u8>>) -> Result<Message, DecodeError> {
--- a/crates/protocol/src/incoming.rs
+++ b/crates/protocol/src/incoming.rs
@@ -6,6 +6,9 @@
 /// Capacity in bytes that an empty buffer keeps.
 const SPARE_CAPACITY_BYTES: usize = 1024;
 
+/// A buffer that grows has one part in this many of its length spare.
+const GROWTH_DIVISOR: usize = 8;
+
 /// Why the bytes of a connection can't be decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecodeError(pub String);
@@ -33,9 +36,31 @@
             self.searched = self.searched.saturating_sub(self.consumed);
             self.consumed = 0;
         }
+        self.reserve(bytes.len());
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Makes room for more bytes, and for as much again as one part in [`GROWTH_DIVISOR`] of what is there: a vector by
+    /// itself would take up to twice of what it holds.
+    fn reserve(&mut self, count: usize) {
+        if self.bytes.capacity() - self.bytes.len() < count {
+            self.bytes.reserve_exact(count.max(self.bytes.len() / GROWTH_DIVISOR));
+        }
+    }
+
+    /// Drops up to `count` bytes from the front; returns how many.
+    pub fn skip(&mut self, count: usize) -> usize {
+        let skipped = count.min(self.len());
+        self.consumed += skipped;
+        self.searched = self.searched.max(self.consumed);
+        skipped
+    }
+
+    /// The memory that the buffer takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Takes a line of at most `limit` bytes, without its line end; `None` if it is not complete.
     pub fn take_line(&mut self, limit: usize) -> Result<Option<String>, DecodeError> {
         let from = self.searched.max(self.consumed);
@@ -62,7 +87,8 @@
         self.bytes.drain(..self.consumed);
         self.searched = self.searched.saturating_sub(self.consumed);
         self.consumed = 0;
-        if self.bytes.capacity() > 2 * self.bytes.len() + SPARE_CAPACITY_BYTES {
+        if self.bytes.capacity() > self.bytes.len() + self.bytes.len() / GROWTH_DIVISOR + SPARE_CAPACITY_BYTES
+        {
             self.bytes.shrink_to(self.bytes.len());
         }
     }
