Event loop: clients that have gone are noticed before all their input is read

Missing invariant: nothing begins for a client once the end of its connection has arrived, wherever in its input that end lies. Cause: the end was found by reading only, behind all input before it; output to nodes is held back for unread clients for four turns, and then leaves. Ruled out: the order of reading within a turn (clients come before nodes), the bound of a pass (the clients here send 60 KB each).

Change: departures.rs polls the clients whose input a turn has not read to its end (rustix, one call, no wait). A broken connection is closed at once; behind the end of a stream, open requests are abandoned and those still unread are rejected, as none has run. A poll that fails shows nothing, and the end is found by reading as before.

--- a/crates/dispatcher/src/clients/connection.rs
+++ b/crates/dispatcher/src/clients/connection.rs
@@ -57,6 +57,8 @@
     /// The client may still wait for answers that were queued for it, until then: what a socket has taken is on its way,
     /// and only the client's time for it tells when it is of no use any more.
     pub(super) undelivered_until: Nanos,
+    /// The client sends no more, but its input is not read to the end.
+    pub(super) end_is_unread: bool,
     /// The memory that its incomplete messages took when they were last counted, and that its open requests take.
     pub(super) input_bytes: u64,
     pub(super) request_bytes: u64,
@@ -90,10 +92,16 @@
         self.decoding = true;
     }
 
+    /// The client sends no more, and is read as far as that. Accepts no new requests; returns whether it did before.
+    pub fn read_to_the_end(&mut self) -> bool {
+        self.close_when_answered();
+        !std::mem::replace(&mut self.end_is_unread, true)
+    }
+
     /// Whether the connection can be closed: no new requests are accepted, and all received ones are
     /// answered.
     pub fn can_close(&self) -> bool {
-        self.closing && !self.decoding && self.open.is_empty()
+        self.closing && !self.decoding && !self.end_is_unread && self.open.is_empty()
     }
 
     /// Whether no new requests are accepted.
--- a/crates/dispatcher/src/effects.rs
+++ b/crates/dispatcher/src/effects.rs
@@ -97,6 +97,8 @@
     Closed(Peer),
     /// The remote end has closed its sending side; it may still read.
     EndOfStream(Peer),
+    /// The same while input that arrived before is still unread; `EndOfStream` or `Closed` follows.
+    FinishedSending(Peer),
     /// A connection could not be made because this machine lacked a resource, which says nothing about the
     /// remote end.
     ConnectFailedLocally(Peer),
--- a/crates/dispatcher/src/event_loop/mod.rs
+++ b/crates/dispatcher/src/event_loop/mod.rs
@@ -33,6 +33,7 @@
 use std::time::{Duration, SystemTime};
 
 mod connections;
+mod departures;
 mod opening;
 mod reading;
 mod startup;
--- a/crates/dispatcher/src/event_loop/reading.rs
+++ b/crates/dispatcher/src/event_loop/reading.rs
@@ -27,9 +27,11 @@
         !self.unread.is_empty()
     }
 
-    /// Reports to the reducer the clients that this turn has not read to their end, if there are any or were any.
+    /// Reports to the reducer the clients that this turn has not read to their end, if there are any or were any, and
+    /// those of them that have gone.
     fn report_unread_clients(&mut self) {
         let unread = self.unread.unread_clients();
+        self.report_departures(&unread);
         if !unread.is_empty() || self.has_unread_clients {
             self.has_unread_clients = !unread.is_empty();
             self.reduce(Event::InputUnread(&unread));
--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -391,6 +391,15 @@
         }
     }
 
+    /// A client sends no more, but what it sent before is not read to its end. Most such clients have disconnected, so
+    /// nothing is sent to nodes for it any more: open requests are abandoned, and those still unread are rejected.
+    pub(super) fn client_will_finish(&mut self, now: Nanos, number: u32) {
+        let Some(client) = self.request_table.clients.get_mut(number) else { return };
+        if client.read_to_the_end() {
+            self.fail_open_requests(now, number);
+        }
+    }
+
     /// Dismisses a client that takes its answers too slowly: all its requests are answered with a failure,
     /// and its connection is closed.
     pub(super) fn dismiss_client(&mut self, now: Nanos, number: u32) {
--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -207,6 +207,7 @@
             Event::InputDelay(span) => self.request_table.input_delay = span,
             Event::Closed(Peer::Client(number)) => self.client_closed(now, number),
             Event::EndOfStream(Peer::Client(number)) => self.client_finished_sending(now, number),
+            Event::FinishedSending(Peer::Client(number)) => self.client_will_finish(now, number),
             Event::Closed(Peer::Node(number)) | Event::EndOfStream(Peer::Node(number)) => {
                 self.request_table.node_closed(number)
             }
@@ -242,6 +243,7 @@
             }
             Event::Connected(Peer::Client(_))
             | Event::ConnectFailedLocally(Peer::Client(_))
+            | Event::FinishedSending(Peer::Node(_) | Peer::ChangeLog(_))
             | Event::OutputStale(Peer::Client(_) | Peer::ChangeLog(_))
             | Event::Written(Peer::ChangeLog(_), _) => {}
         }
--- a/crates/dispatcher/tests/dispatcher/gone_sockets.rs
+++ b/crates/dispatcher/tests/dispatcher/gone_sockets.rs
@@ -145,3 +145,34 @@
     assert!(line.starts_with("fetch 9b04"), "{line}");
     assert_eq!(sent(&rig), "");
 }
+
+/// Clients that leave at once, each with so much unread that the program needs many turns to read to their ends.
+const LEAVING_CLIENTS: usize = 60;
+const UNREAD_BYTES: usize = 60_000;
+
+/// Guards against requests that are sent on for clients that have gone, as their end lies behind much unread input: output
+/// to nodes is held back for some turns only.
+#[test]
+fn clients_that_leave_with_much_unread_have_no_request_sent_on() {
+    for leave in [Leave::Ends, Leave::Resets] {
+        let rig = Rig::start();
+        let mut clients: Vec<_> = (0..LEAVING_CLIENTS).map(|_| rig.client()).collect();
+        for client in &mut clients {
+            client.write_all(&message("HEALTH", 1)).expect("the program reads");
+            // A reset discards what its client has sent and the kernel not delivered, so the answer is read first.
+            answer(client);
+        }
+        rig.signal("STOP");
+        let others = message("ABORT", 9);
+        for (number, client) in clients.iter_mut().enumerate() {
+            let mut bytes = request(7, "image", &format!("{:016x}", number + 1), UNHURRIED);
+            bytes.extend(others.repeat(UNREAD_BYTES / others.len()));
+            leave.play(client, &bytes);
+        }
+        if let Leave::Ends = leave {
+            clients.iter().for_each(|client| lies_unread(client, true));
+        }
+        rig.signal("CONT");
+        assert_eq!(sent(&rig), "", "{leave:?}");
+    }
+}
