Node connections: incomplete answers are counted, and the slowest gives way

Missing invariant: as for clients, every byte held for a peer is counted by one owner. Change: the node connections count their incomplete answers; over a sixth of the limit the connection whose answer began first is closed, and its requests get another attempt or a final answer. Ruled out: pausing all but one connection, as a slow node at the head would hold up all others.

Not shown with real processes: many slow nodes at once.

--- a/crates/dispatcher/src/memory.rs
+++ b/crates/dispatcher/src/memory.rs
@@ -3,8 +3,8 @@
 //!
 //! When memory gets short, new work gives way, never what was taken: first requests of clients that hold much, then all
 //! requests that would not fit, each with the answer that it has not run. A body that does not fit is dropped as it
-//! arrives. Nodes are not read while clients take too little, and while their incomplete answers take too much, they
-//! are read one after the other.
+//! arrives. Nodes are not read while clients take too little. While their incomplete answers take too much, the
+//! connection whose answer began first is closed, and its requests get another attempt or fail.
 //!
 //! Among clients, each may hold as much more as is free altogether (dynamic thresholds for shared buffers, Choudhury and
 //! Hahne, 1998): many that hold much leave a part free, which one that holds little can use.
@@ -18,7 +18,7 @@
 /// The same for input of clients and open requests.
 const REQUEST_DIVISOR: u64 = 4;
 /// The same for incomplete answers of nodes.
-const NODE_INPUT_DIVISOR: u64 = 8;
+const NODE_INPUT_DIVISOR: u64 = 6;
 /// What an open request takes besides its body: its entries in the tables, its attempts and timers.
 pub const OPEN_REQUEST_BYTES: u64 = 768;
 
--- a/crates/dispatcher/src/nodes/connection.rs
+++ b/crates/dispatcher/src/nodes/connection.rs
@@ -46,6 +46,9 @@
     /// When the node last completed an answer on this connection; before that, when it was established. An incomplete
     /// answer does not count, as it delays all attempts behind it.
     pub(super) last_answer_at: Nanos,
+    /// The memory that an incomplete answer takes, in bytes, and when that answer began.
+    pub(super) input_bytes: u64,
+    pub(super) answer_began_at: Option<Nanos>,
     /// The connection was idle when it was last written to, and nothing has arrived since.
     pub(super) reused_after_idle: bool,
     /// Nothing has ever arrived on this connection.
@@ -69,6 +72,8 @@
             bytes_queued: 0,
             bytes_written: 0,
             last_answer_at: Nanos::ZERO,
+            input_bytes: 0,
+            answer_began_at: None,
             reused_after_idle: false,
             nothing_received: true,
             last_used: now,
--- a/crates/dispatcher/src/nodes/connections.rs
+++ b/crates/dispatcher/src/nodes/connections.rs
@@ -53,6 +53,7 @@
         match connection.decoder.next_message() {
             Ok(None) => {
                 connection.decoder.release_spare_memory();
+                self.count_input(number, now);
                 NextMessage::Incomplete
             }
             Ok(Some(Message::ProbeAnswer { tag, takes_work })) => {
@@ -63,7 +64,7 @@
                 }
             }
             Ok(Some(Message::Answer(answer))) => {
-                connection.last_answer_at = now;
+                (connection.last_answer_at, connection.answer_began_at) = (now, None);
                 // An answer that arrives before a later attempt of the same request was written in full can't belong to
                 // that attempt: it is a second answer to the earlier one. The id stays until its request expires, see
                 // `may_carry`.
@@ -122,6 +123,7 @@
         if connection.reused_after_idle && connection.awaited > 0 {
             self.avoid_idle_until = connection.last_used.after(IDLE_REUSE_PAUSE);
         }
+        self.input_bytes -= connection.input_bytes;
         effects.push(Effect::Close(Peer::Node(number)));
         if let Some(pool) = self.pools.get_mut(connection.node.0) {
             pool.connections.retain(|other| *other != number);
@@ -199,6 +201,30 @@
         }
     }
 
+    /// Counts the memory that an incomplete answer on a connection takes.
+    fn count_input(&mut self, number: u32, now: Nanos) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        let held = connection.decoder.held_bytes() as u64;
+        self.input_bytes = self.input_bytes - connection.input_bytes + held;
+        connection.input_bytes = held;
+        let is_partial = connection.decoder.has_partial_message();
+        connection.answer_began_at = is_partial.then(|| connection.answer_began_at.unwrap_or(now));
+    }
+
+    /// While incomplete answers take more than `max_bytes`: the connection on which one has lasted longest, which the
+    /// caller closes. Prevents many slow nodes from taking all memory. Costs the attempts on that connection.
+    pub fn slowest_over_limit(&mut self, max_bytes: u64, now: Nanos) -> Option<u32> {
+        if self.input_bytes <= max_bytes {
+            return None;
+        }
+        let began = |(number, c): (&u32, &Connection)| Some((c.answer_began_at?, *number));
+        let (_, number) = self.connections.iter().filter_map(began).min()?;
+        let id = self.connections.get(&number).map(|connection| self.ids.key(connection.node.0).clone());
+        let line = format_args!("node {}: incomplete answers take too much memory", id.unwrap_or_default());
+        self.log_limiter.warn(now, line);
+        Some(number)
+    }
+
     /// Pauses or resumes reading from all nodes.
     pub fn pause_reads(&mut self, paused: bool, effects: &mut Vec<Effect>) {
         if self.reads_paused == paused {
--- a/crates/dispatcher/src/nodes/mod.rs
+++ b/crates/dispatcher/src/nodes/mod.rs
@@ -85,6 +85,8 @@
     addresses: BTreeSet<(SocketAddr, u32)>,
     connections: HashMap<u32, Connection>,
     last_number: u32,
+    /// The memory that incomplete answers of all connections take, in bytes.
+    input_bytes: u64,
     /// Reading from nodes is paused.
     reads_paused: bool,
     /// Idle connections are not reused until then.
@@ -107,6 +109,7 @@
             addresses: BTreeSet::new(),
             connections: HashMap::new(),
             last_number: 0,
+            input_bytes: 0,
             reads_paused: false,
             avoid_idle_until: Nanos::ZERO,
             log_limiter: LogRateLimiter::default(),
--- a/crates/dispatcher/src/reducer/mod.rs
+++ b/crates/dispatcher/src/reducer/mod.rs
@@ -33,6 +33,7 @@
 use std::net::IpAddr;
 
 mod change_log_events;
+mod client_ends;
 mod clients;
 mod event_times;
 mod reload;
--- a/crates/dispatcher/src/request_table/attempts.rs
+++ b/crates/dispatcher/src/request_table/attempts.rs
@@ -142,7 +142,10 @@
         self.nodes.received(connection, bytes, self.now);
         loop {
             match self.nodes.next_message(connection, self.now) {
-                NextMessage::Incomplete => return self.nodes.close_if_spent(connection, &mut self.effects),
+                NextMessage::Incomplete => {
+                    self.nodes.close_if_spent(connection, &mut self.effects);
+                    return self.limit_node_input();
+                }
                 NextMessage::Unmatched => {}
                 NextMessage::ProbeAnswer(node, sent_at, ready) => {
                     self.probe_answers.push((node, sent_at, ready))
@@ -159,6 +162,13 @@
         }
     }
 
+    /// Closes the slowest connections while incomplete answers of nodes take more than their share of the memory.
+    fn limit_node_input(&mut self) {
+        while let Some(connection) = self.nodes.slowest_over_limit(self.memory.node_input, self.now) {
+            self.node_closed(connection);
+        }
+    }
+
     /// Whether an answer fits its attempt: a copy needs its tag and time, and only a client that named a
     /// cached copy can be told that it is still current. After an answer that does not fit, nothing on the
     /// connection can be trusted.
--- a/crates/dispatcher/tests/dispatcher/growth.rs
+++ b/crates/dispatcher/tests/dispatcher/growth.rs
@@ -1,6 +1,6 @@
-//! The memory a dispatcher keeps for objects is bounded, however long it serves.
+//! The memory a dispatcher keeps for objects is bounded, however long it serves; and that for answers of slow nodes.
 
-use crate::common::{Play, request};
+use crate::common::{CONFIG, Play, last_connection, request};
 use copperroute_dispatcher::effects::{Event, Peer};
 
 /// Sends requests for `count` objects that were not requested before; a cache serves each at once.
@@ -32,3 +32,29 @@
         "20,000 in the ghost cache, and the object of the current request"
     );
 }
+
+/// Guards against incomplete answers that nobody counts: nodes that each send the most of a large object and then little
+/// more took memory without a bound. The one whose answer began first gives way, and its request is asked elsewhere or answered.
+#[test]
+fn incomplete_answers_of_slow_nodes_take_bounded_memory() {
+    let mut play = Play::of(&CONFIG.replace("\"memory_mb\": 192", "\"memory_mb\": 4"));
+    let ids: Vec<_> = (0..6).map(|number| format!("9b{number:02}")).collect();
+    for (tag, id) in (1..).zip(&ids) {
+        play.client(&request(tag, "image", id, ",need=25000,timeout=3000"));
+    }
+    let asked = play.take();
+    let connections = asked.matches("connect Node").count();
+    assert!(connections >= 4, "{asked}");
+    let part = "x".repeat(200_000);
+    for id in &ids[..4] {
+        play.node_bytes(&format!("{id} ok why=local 240000"), &part);
+        play.pass(5);
+    }
+    let trace = play.take();
+    // The share of 4 MB holds three of them.
+    let first = last_connection(asked.lines().find(|line| line.contains("fetch 9b00")).expect("asked"));
+    assert_eq!(trace.matches("close Node").count(), 1, "{trace}");
+    assert!(trace.contains(&format!("close Node({first})")), "{trace}");
+    let is_handled = trace.contains("fetch 9b00") || trace.contains("Client(1) <- *4 $1 1 ");
+    assert!(is_handled, "its request is asked again or answered: {trace}");
+}
--- a/crates/dispatcher/tests/floods/floods.rs
+++ b/crates/dispatcher/tests/floods/floods.rs
@@ -2,7 +2,7 @@
 //! nodes that never answer. The bound is the users': half a second after the request's time, and 50 ms for sockets.
 
 use crate::common::{message, request};
-use crate::rig::{Rig, items};
+use crate::rig::{Rig, items, told};
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
@@ -33,6 +33,16 @@
         rig: &Rig,
         batch: impl Fn() -> Arc<Vec<u8>> + Clone + Send + 'static,
         batches_per_connection: usize,
+    ) -> Flood {
+        Flood::of(FLOODING_CLIENTS, rig, batch, batches_per_connection)
+    }
+
+    /// The same with this many clients.
+    fn of(
+        clients: usize,
+        rig: &Rig,
+        batch: impl Fn() -> Arc<Vec<u8>> + Clone + Send + 'static,
+        batches_per_connection: usize,
     ) -> Flood {
         let is_over = Arc::new(AtomicBool::new(false));
         let client = |_| {
@@ -43,7 +53,7 @@
                 }
             })
         };
-        let threads = (0..FLOODING_CLIENTS).map(client).collect();
+        let threads = (0..clients).map(client).collect();
         Flood { is_over, threads }
     }
 
@@ -176,3 +186,40 @@
     assert_eq!(status.code(), Some(0));
     assert!(ended_ms <= MAX_COUNTED_DEADLINE_MS + KILL_DELAY_MS, "ended after {ended_ms} ms");
 }
+
+/// How late requests are served whose nodes answer at once, in milliseconds from when each was written.
+fn delays_of_served_requests(rig: &mut Rig) -> Vec<u64> {
+    let (_, none) = std::sync::mpsc::channel();
+    let asked = std::mem::replace(&mut rig.asked, none);
+    thread::spawn(move || {
+        while let Ok(mut attempt) = asked.recv() {
+            let id = attempt.line.split(' ').nth(1).unwrap_or_default().to_string();
+            if attempt.line.starts_with("fetch") {
+                let _ = attempt.back.write_all(&told(&format!("{id} ok why=local 4"), b"body\r\n"));
+            }
+        }
+    });
+    let ask = |id: u64| {
+        let mut client = rig.client();
+        let fields = ",timeout=5000,need=100000";
+        client.write_all(&request(id, "image", &format!("{id:016x}"), fields)).expect("the program reads");
+        let written = Instant::now();
+        let answer = items(&mut BufReader::new(&client));
+        assert_eq!(answer[1], b"OK");
+        written.elapsed().as_millis() as u64
+    };
+    (1..=REQUESTS).map(ask).collect()
+}
+
+/// Guards against one client that takes all turns of the event loop: others are served meanwhile, in the same bound.
+#[test]
+fn one_flooding_client_delays_no_served_answer() {
+    for batch in [repeated(&largest_unusable()), repeated(&message("ABORT", 1))] {
+        let mut rig = Rig::start();
+        let flood = Flood::of(1, &rig, batch, usize::MAX);
+        thread::sleep(Duration::from_millis(300));
+        let delays = delays_of_served_requests(&mut rig);
+        flood.end();
+        assert!(delays.iter().all(|delay_ms| *delay_ms <= MAX_LATE_MS), "served after {delays:?} ms");
+    }
+}
--- a/crates/protocol/src/nodes.rs
+++ b/crates/protocol/src/nodes.rs
@@ -208,6 +208,11 @@
         self.incoming.release_spare_memory();
     }
 
+    /// The memory that an incomplete message takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.incoming.held_bytes()
+    }
+
     /// Whether an incomplete message has been received.
     pub fn has_partial_message(&self) -> bool {
         self.partial.is_some() || !self.incoming.is_empty()
