Node list: late news of a gone node takes no address from its successor

Missing invariant: an address belongs to the process that started there last, whatever the order of the news. Cause: Nodes::add_or_update gave an address to whichever node was listed with it last. Change: a node takes no address from one that started later. Ruled out: in the first form of the test the new node was cold, which alone had it asked for nothing.

Test: late_news_of_a_gone_node_takes_no_address_from_its_successor (reducer) fails without the change ("leaving: {6002}"). That work ran twice in this way was not reproduced.

--- a/crates/dispatcher/src/nodes/list.rs
+++ b/crates/dispatcher/src/nodes/list.rs
@@ -10,15 +10,19 @@
 
     /// Adds or updates a listed node. Returns its index and the nodes whose connections and state are obsolete: the
     /// node itself if it has restarted or moved, and another node that had its address, which must be gone even if the
-    /// change log has not reported that yet.
+    /// change log has not reported that yet. Of two nodes at an address the one that started later is there: news of
+    /// the other, whenever it comes, takes no address from it.
     pub fn add_or_update(
         &mut self,
         id: &str,
-        pool: NodePool,
+        mut pool: NodePool,
         now: Nanos,
         effects: &mut Vec<Effect>,
     ) -> (NodeId, Vec<NodeId>) {
         let node = NodeId(self.ids.get_or_assign(id.to_string()));
+        if pool.address.take_if(|address| self.has_successor_at(*address, node, pool.start)).is_some() {
+            self.refusing.push((node, now.after(REPLACED_NODE_EXCLUSION)));
+        }
         let address = pool.address.map_or("no address".to_string(), |address| address.to_string());
         log::info!("node {}: {id} at {address}, {:?}", node.0, pool.readiness);
         let mut moved = Vec::new();
@@ -54,6 +58,13 @@
         self.addresses.range((address, 0)..=(address, u32::MAX)).map(|(_, node)| NodeId(*node))
     }
 
+    /// Whether a node that started later than `start` is at an address.
+    fn has_successor_at(&self, address: SocketAddr, node: NodeId, start: Option<NodeStart>) -> bool {
+        let start_of = |other: NodeId| self.pools.get(other.0).and_then(|pool| pool.start);
+        let is_successor = |other: &NodeId| *other != node && is_later(start_of(*other), start);
+        self.nodes_at(address).any(|other| is_successor(&other))
+    }
+
     fn set_address(&mut self, node: NodeId, address: Option<SocketAddr>) {
         let Some(pool) = self.pools.get_mut(node.0) else { return };
         if let Some(before) = std::mem::replace(&mut pool.address, address) {
--- a/crates/dispatcher/tests/dispatcher/main.rs
+++ b/crates/dispatcher/tests/dispatcher/main.rs
@@ -35,6 +35,7 @@
 mod loopback;
 mod outside_time;
 mod relay_process;
+mod replaced_nodes;
 mod request_cost;
 mod rig;
 mod rules_text;
