Nodes are read again as a lingering connection frees its output

A client that can't be decoded any more has its input counted again, as its buffer is dropped.

Test: nodes_are_read_again_as_a_lingering_connection_frees_its_output fails without the change (only "close Client(1)" follows).

--- a/crates/dispatcher/src/reducer/clients.rs
+++ b/crates/dispatcher/src/reducer/clients.rs
@@ -94,9 +94,9 @@
                     self.request_table.clients.mark_too_slow(number);
                     self.reject(now, number, tag, timeout_ms);
                 }
+                Message::WithoutBody(..) => self.reject(now, number, tag, timeout_ms),
                 // Rejected on shutdown, when memory is short and above the protocol's limit: the request has
                 // not run, so it may safely be retried.
-                Message::WithoutBody(..) => self.reject(now, number, tag, timeout_ms),
                 Message::Request(_, ref request)
                     if self.lifecycle.phase() >= Phase::Closing
                         || self.request_table.has_no_memory_for_answers(number)
--- a/crates/dispatcher/src/reducer/timers.rs
+++ b/crates/dispatcher/src/reducer/timers.rs
@@ -33,7 +33,7 @@
                 for number in self.request_table.clients.overdue(now) {
                     self.request_table.close_when_answered(number);
                 }
-                self.request_table.clients.close_lingered(now, &mut self.request_table.effects);
+                self.request_table.close_lingered();
                 self.change_log.check_silence(now, &mut self.request_table.effects);
                 self.process_change_log(now);
                 self.correct_starts(now);
@@ -46,9 +46,7 @@
                 self.request_table.send_deadline_passed(attempt, generation)
             }
             TimerKind::IntakeEnd => self.intake_ended = true,
-            TimerKind::LingerDeadline => {
-                self.request_table.clients.close_lingered(now, &mut self.request_table.effects)
-            }
+            TimerKind::LingerDeadline => self.request_table.close_lingered(),
             TimerKind::DrainDeadline => {
                 for (request_id, generation) in self.request_table.requests_awaiting_answer() {
                     self.expire(now, request_id, generation);
--- a/crates/dispatcher/src/request_table/clients.rs
+++ b/crates/dispatcher/src/request_table/clients.rs
@@ -50,6 +50,7 @@
         if let Some(client) = self.clients.get_mut(client) {
             client.mark_unreadable();
         }
+        self.clients.count_input(client);
         self.close_if_answered(client);
     }
 
@@ -108,6 +109,12 @@
         self.clients.count_input(client);
     }
 
+    /// Closes the connections whose lingering close has timed out, which frees the memory of their output.
+    pub fn close_lingered(&mut self) {
+        self.clients.close_lingered(self.now, &mut self.effects);
+        self.update_node_reads();
+    }
+
     /// Stops reading from nodes while clients take too little: what nodes hold back takes no memory here.
     fn update_node_reads(&mut self) {
         let max = self.memory.output / if self.nodes.reads_paused() { 2 } else { 1 };
--- a/crates/dispatcher/tests/dispatcher/clients.rs
+++ b/crates/dispatcher/tests/dispatcher/clients.rs
@@ -311,3 +311,23 @@
     let trace = play.take();
     assert!(trace.contains("shut Client(1)\n"), "{trace}");
 }
+
+/// Guards against nodes that stay unread: output of a connection in its lingering close counts as held until the connection
+/// ends, and no other event may follow.
+#[test]
+fn nodes_are_read_again_as_a_lingering_connection_frees_its_output() {
+    let mut play = Play::of(&CONFIG.replace("\"memory_mb\": 192", "\"memory_mb\": 4"));
+    play.event(Event::Accepted(2, LOOPBACK));
+    for (client, tag) in [(1, 7), (1, 8), (1, 9), (2, 11), (2, 12)] {
+        let bytes = request(tag, "image", &format!("9b{tag:02}"), ",need=100");
+        play.event(Event::Received(Peer::Client(client), &bytes));
+    }
+    play.calm = false;
+    let trace = send_large_answers(&mut play, &["9b07", "9b08", "9b09", "9b11", "9b12"]);
+    assert!(trace.contains("read Node(1) false"), "{trace}");
+    play.event(Event::EndOfStream(Peer::Client(1)));
+    assert!(!play.take().contains("read Node(1) true"), "its output is still held");
+    play.pass(2_000);
+    let trace = play.take();
+    assert!(trace.contains("close Client(1)") && trace.contains("read Node(1) true"), "{trace}");
+}
