Clients with one large answer each are not dismissed when output memory is short

With the least memory some forty usual clients that each wait for one large answer use it up, so that any of them that asked again lost what it waited for.

Open: clients that take nothing and stay under 512 KB each are not dismissed, only rejected.

Test: clients_with_one_large_answer_each_are_not_dismissed_when_memory_is_ short fails without the change.

--- a/crates/dispatcher/src/memory.rs
+++ b/crates/dispatcher/src/memory.rs
@@ -53,9 +53,4 @@
     pub fn is_output_short(&self, all_unsent: u64, unsent: u64) -> bool {
         all_unsent > self.output / 2 && unsent > self.output.saturating_sub(all_unsent)
     }
-
-    /// Whether the share for output is used up, and a client with `unsent` bytes of it holds more than an equal part.
-    pub fn is_output_exhausted(&self, all_unsent: u64, unsent: u64, clients: usize) -> bool {
-        all_unsent > self.output && unsent > self.output / clients.max(1) as u64
-    }
 }
--- a/crates/dispatcher/src/request_table/clients.rs
+++ b/crates/dispatcher/src/request_table/clients.rs
@@ -72,11 +72,9 @@
         self.is_memory_short_for(client) || self.memory.is_output_short(all, unsent)
     }
 
-    /// Whether the memory for output is used up and this client holds much of it.
+    /// Whether the memory for output is used up and this client is slow.
     pub fn is_memory_exhausted_for(&self, client: u32) -> bool {
-        let (all, unsent) = (self.clients.unsent(), self.clients.unsent_of(client));
-        (all > self.memory.output && self.clients.is_slow(client))
-            || self.memory.is_output_exhausted(all, unsent, self.clients.count())
+        self.clients.unsent() > self.memory.output && self.clients.is_slow(client)
     }
 
     /// The memory that a request takes while it is open.
--- a/crates/dispatcher/tests/dispatcher/clients.rs
+++ b/crates/dispatcher/tests/dispatcher/clients.rs
@@ -331,3 +331,24 @@
     let trace = play.take();
     assert!(trace.contains("close Client(1)") && trace.contains("read Node(1) true"), "{trace}");
 }
+
+/// Guards against usual clients that are dismissed as memory for output runs out: each waits for one large answer only. What
+/// they ask besides is rejected, and what they were answered is still theirs.
+#[test]
+fn clients_with_one_large_answer_each_are_not_dismissed_when_memory_is_short() {
+    let mut play = Play::of(&CONFIG.replace("\"memory_mb\": 192", "\"memory_mb\": 4"));
+    (2..=5).for_each(|client| play.event(Event::Accepted(client, LOOPBACK)));
+    let ids: Vec<_> = (1..=5).map(|client| format!("9b{client:02}")).collect();
+    for (client, id) in (1..).zip(&ids) {
+        let bytes = request(7, "image", id, ",need=100");
+        play.event(Event::Received(Peer::Client(client), &bytes));
+    }
+    play.calm = false;
+    let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+    let trace = send_large_answers(&mut play, &ids);
+    assert_eq!(trace.matches("OK").count(), 5, "{trace}");
+    play.event(Event::Received(Peer::Client(1), &request(8, "image", "9c01", ",need=100")));
+    let trace = play.take();
+    assert!(trace.contains("Client(1) <- *4 $1 8 $4 BUSY"), "{trace}");
+    assert!(!trace.contains("shut Client(1)") && !trace.contains("close Client(1)"), "{trace}");
+}
